--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,246 @@
+// Package host runs many instances of the decision module in one process, each
+// on its own: it turns the wire's events into the module's and the module's
+// actions into the wire's. It decides nothing.
+package host
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"oxbowloft/internal/wire"
+	"oxbowloft/logic"
+)
+
+// Host holds the instances of one process.
+type Host struct {
+	instances map[int]*instance
+	pools     map[int][]wire.Element
+	actions   []wire.Action
+}
+
+// instance is one balancer with its Actions.
+type instance struct {
+	number   int
+	host     *Host
+	balancer *logic.Balancer
+	classes  map[string]int
+}
+
+// New returns a host without instances.
+func New() *Host {
+	return &Host{instances: map[int]*instance{}, pools: map[int][]wire.Element{}}
+}
+
+// Run answers batches from r on w until r ends.
+func Run(r io.Reader, w io.Writer) error {
+	in, out, h := wire.NewReader(r), wire.NewWriter(w), New()
+	for {
+		batch, err := in.Read()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		actions, err := h.Batch(batch)
+		if err != nil {
+			return fmt.Errorf("batch %d: %w", batch.Serial, err)
+		}
+		if err := out.Write(batch.Serial, actions); err != nil {
+			return err
+		}
+	}
+}
+
+// Batch handles the events of b in order and returns the actions they led to,
+// good until the next call.
+func (h *Host) Batch(b *wire.Batch) ([]wire.Action, error) {
+	h.actions = h.actions[:0]
+	now := duration(b.Time)
+	for i := range b.Events {
+		if err := h.event(now, &b.Events[i]); err != nil {
+			return nil, fmt.Errorf("%s: %w", b.Events[i].Type, err)
+		}
+	}
+	return h.actions, nil
+}
+
+func (h *Host) event(now logic.Time, e *wire.Event) error {
+	switch e.Type {
+	case "pool":
+		h.pools[*e.Ref] = e.Elements
+		return nil
+	case "enlist":
+		return h.enlist(now, e)
+	}
+	in := h.instances[*e.Instance]
+	if in == nil {
+		return fmt.Errorf("unknown instance %d", *e.Instance)
+	}
+	switch e.Type {
+	case "retire":
+		delete(h.instances, in.number)
+	case "backends-changed":
+		return in.list(now, e)
+	case "job-in":
+		class, ok := in.classes[*e.Kind]
+		if !ok {
+			return fmt.Errorf("unknown class %q", *e.Kind)
+		}
+		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: duration(e.Budget)})
+	case "resolved":
+		return in.resolved(now, e)
+	case "lapsed":
+		in.balancer.Gone(now, *e.Txn)
+	case "elapsed":
+		in.balancer.Wake(now, *e.Nonce)
+	case "status-back", "neighbour-says", "first":
+		// The module probes nobody, talks to no peer, and waits for an answer's
+		// end whether or not it has begun.
+	}
+	return nil
+}
+
+func (h *Host) enlist(now logic.Time, e *wire.Event) error {
+	set, err := settings(*e.Seed, e.Setup)
+	if err != nil {
+		return err
+	}
+	in := &instance{number: *e.Instance, host: h, classes: map[string]int{}}
+	for i, c := range set.Classes {
+		in.classes[c.Name] = i
+	}
+	h.instances[in.number] = in
+	in.balancer = logic.New(now, set, in)
+	return nil
+}
+
+func settings(seed uint64, s *wire.Setup) (logic.Settings, error) {
+	set := logic.Settings{
+		Seed:         seed,
+		Zone:         s.Zone,
+		Zones:        s.Zones,
+		Tier:         s.Stage,
+		MaxAttempts:  s.Limits.MaxAttempts,
+		SecondCopies: s.Limits.ParallelTries,
+		AskForList:   s.Discovery == "on_request",
+		AskWithin:    duration(s.Rules.AskWithin),
+		ColdShare:    s.Rules.ColdFrom,
+		WarmWithin:   duration(s.Rules.WarmWithin),
+	}
+	if s.Limits.RetryAfter {
+		set.MaxComeBack = duration(s.Limits.MaxRetryAfter)
+	}
+	repeats := map[string]logic.Repeat{"free": logic.Safe, "guarded": logic.Keyed, "single_shot": logic.Unsafe}
+	scopes := map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
+	for _, c := range s.Classes {
+		repeat, ok := repeats[c.Idempotency]
+		if !ok {
+			return set, fmt.Errorf("class %q: unknown idempotency %q", c.Name, c.Idempotency)
+		}
+		scope, ok := scopes[c.Group]
+		if !ok && repeat == logic.Keyed {
+			return set, fmt.Errorf("class %q: unknown group %q", c.Name, c.Group)
+		}
+		set.Classes = append(set.Classes, logic.Class{
+			Name:      c.Name,
+			Aim:       duration(c.Aim),
+			Deadline:  duration(c.GiveUp),
+			Worth:     c.Worth,
+			LateWorth: c.LateWorth,
+			Repeat:    repeat,
+			Scope:     scope,
+			Memory:    duration(c.Memory),
+		})
+	}
+	return set, nil
+}
+
+func (in *instance) list(now logic.Time, e *wire.Event) error {
+	if *e.Kind == "FAILED" {
+		in.balancer.ListFailed(now)
+		return nil
+	}
+	if !slices.Contains([]string{"SAVED", "FULL", "INCREMENTAL"}, *e.Kind) {
+		return fmt.Errorf("unknown kind %q", *e.Kind)
+	}
+	if e.Ref == nil {
+		return errors.New("no ref")
+	}
+	elements, ok := in.host.pools[*e.Ref]
+	if !ok {
+		return fmt.Errorf("unknown pool %d", *e.Ref)
+	}
+	states := map[string]logic.State{"up": logic.Up, "draining": logic.Draining, "removed": logic.Removed}
+	lines := make([]logic.Backend, 0, len(elements))
+	for _, l := range elements {
+		state, ok := states[l.Health]
+		if !ok {
+			return fmt.Errorf("backend %s: unknown health %q", l.Backend, l.Health)
+		}
+		line := logic.Backend{ID: l.Backend, Zone: l.Zone, Cell: l.Cell, State: state, Started: duration(l.ReadyAt)}
+		if l.Units != nil {
+			line.Size = *l.Units
+		}
+		lines = append(lines, line)
+	}
+	in.balancer.List(now, *e.Kind != "INCREMENTAL", lines)
+	return nil
+}
+
+func (in *instance) resolved(now logic.Time, e *wire.Event) error {
+	results := [...]logic.Result{1: logic.OK, 2: logic.Error, 3: logic.Full, 4: logic.TimedOut,
+		5: logic.NoConnect, 6: logic.Broken, 7: logic.Cancelled, 8: logic.NeverSent}
+	if *e.Code < 1 || *e.Code >= len(results) {
+		return fmt.Errorf("unknown code %d", *e.Code)
+	}
+	in.balancer.Done(now, logic.Outcome{
+		Request: *e.Txn,
+		Attempt: e.Shot,
+		Result:  results[*e.Code],
+		Latency: duration(e.Latency),
+		Final:   e.Terminal,
+	})
+	return nil
+}
+
+func (in *instance) act(a wire.Action) {
+	a.Instance = in.number
+	in.host.actions = append(in.host.actions, a)
+}
+
+// Send implements logic.Actions.
+func (in *instance) Send(request, backend string, timeout time.Duration) {
+	in.act(wire.Action{Type: "pass-on", Txn: request, Backend: backend, AllowFor: milliseconds(timeout)})
+}
+
+// Refuse implements logic.Actions.
+func (in *instance) Refuse(request string, comeBack time.Duration) {
+	in.act(wire.Action{Type: "reject", Txn: request, ComeBack: milliseconds(comeBack)})
+}
+
+// Fail implements logic.Actions.
+func (in *instance) Fail(request string) {
+	in.act(wire.Action{Type: "fail", Txn: request})
+}
+
+// Wake implements logic.Actions.
+func (in *instance) Wake(token uint64, after time.Duration) {
+	in.act(wire.Action{Type: "schedule", Nonce: &token, Wait: milliseconds(after)})
+}
+
+// WatchList implements logic.Actions.
+func (in *instance) WatchList() {
+	in.act(wire.Action{Type: "observe", Enable: true})
+}
+
+func duration(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,246 @@
+// Package wire reads and writes the bench's wire: batches of events in, one
+// reply of actions a batch out, one JSON value a line. It knows the form of
+// the messages and nothing of what they are for.
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// An Event is one line of a batch. Which fields are set depends on Type; Read
+// makes sure that those its type needs are there. Unknown fields are skipped.
+type Event struct {
+	Type     string  `json:"type"`
+	Instance *int    `json:"i"`
+	Txn      *string `json:"txn"`
+	Kind     *string `json:"kind"`
+	Backend  *string `json:"backend"`
+	Shot     int     `json:"shot"`
+	Code     *int    `json:"code"`
+	Latency  float64 `json:"latency-ms"`
+	Terminal bool    `json:"terminal"`
+	Budget   float64 `json:"budget-ms"`
+
+	Nonce    *uint64   `json:"nonce"`
+	Ref      *int      `json:"ref"`
+	Elements []Element `json:"elements"`
+	Seed     *uint64   `json:"init-seed"`
+	Setup    *Setup    `json:"setup"`
+	Time     *float64  `json:"time-ms"`
+	Serial   *int64    `json:"serial"`
+}
+
+// Element is one line of a list of backends.
+type Element struct {
+	Backend string   `json:"backend"`
+	Zone    string   `json:"dc"`
+	Cell    int      `json:"stripe"`
+	Health  string   `json:"health"`
+	Units   *float64 `json:"units"`
+	ReadyAt float64  `json:"ready-at-ms"`
+}
+
+// Setup is the part of an instance's settings that the project uses.
+type Setup struct {
+	Zone    string   `json:"az"`
+	Zones   []string `json:"zones"`
+	Classes []struct {
+		Name        string  `json:"name"`
+		Aim         float64 `json:"aim-ms"`
+		GiveUp      float64 `json:"give-up-ms"`
+		Group       string  `json:"group"`
+		Idempotency string  `json:"idempotency"`
+		LateWorth   float64 `json:"late-worth"`
+		Memory      float64 `json:"memory-span-ms"`
+		Worth       float64 `json:"worth"`
+	} `json:"classes"`
+	Discovery string `json:"discovery"`
+	Limits    struct {
+		MaxAttempts   int     `json:"max-attempts"`
+		MaxRetryAfter float64 `json:"max-retry-after-ms"`
+		RetryAfter    bool    `json:"retry-after"`
+		ParallelTries bool    `json:"parallel-tries"`
+	} `json:"limits"`
+	Rules struct {
+		AskWithin  float64 `json:"ask-within-ms"`
+		ColdFrom   float64 `json:"cold-from"`
+		WarmWithin float64 `json:"warm-within-ms"`
+	} `json:"rules"`
+	Stage int `json:"stage"`
+}
+
+// An Action is one line of a reply.
+type Action struct {
+	Type     string  `json:"type"`
+	Instance int     `json:"i"`
+	Txn      string  `json:"txn,omitempty"`
+	Backend  string  `json:"backend,omitempty"`
+	AllowFor float64 `json:"allow-for-ms,omitempty"`
+	ComeBack float64 `json:"come-back-ms,omitempty"`
+	Nonce    *uint64 `json:"nonce,omitempty"`
+	Wait     float64 `json:"wait-ms,omitempty"`
+	Enable   bool    `json:"enable,omitempty"`
+}
+
+// A Batch is what happened at one time.
+type Batch struct {
+	Time   float64 // milliseconds
+	Serial int64
+	Events []Event
+}
+
+// Reader reads batches.
+type Reader struct {
+	in   *bufio.Reader
+	long []byte
+	line int
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, 1<<16)}
+}
+
+// Read returns the next batch, or io.EOF where the input ends between batches.
+func (r *Reader) Read() (*Batch, error) {
+	head, err := r.event()
+	if err != nil {
+		return nil, err
+	}
+	if head.Type != "batch" {
+		return nil, fmt.Errorf("line %d: %q outside a batch", r.line, head.Type)
+	}
+	b := &Batch{Time: *head.Time, Serial: *head.Serial}
+	for {
+		e, err := r.event()
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil, fmt.Errorf("line %d: input ends inside a batch", r.line)
+		case err != nil:
+			return nil, err
+		case e.Type == "flush":
+			return b, nil
+		case e.Type == "batch":
+			return nil, fmt.Errorf("line %d: batch inside a batch", r.line)
+		}
+		b.Events = append(b.Events, e)
+	}
+}
+
+func (r *Reader) event() (Event, error) {
+	var e Event
+	text, err := r.next()
+	if err != nil {
+		return e, err
+	}
+	if err := json.Unmarshal(text, &e); err != nil {
+		return e, fmt.Errorf("line %d: %w", r.line, err)
+	}
+	if err := e.check(); err != nil {
+		return e, fmt.Errorf("line %d: %w", r.line, err)
+	}
+	return e, nil
+}
+
+// next returns the next line; it is good until the call after.
+func (r *Reader) next() ([]byte, error) {
+	r.long = r.long[:0]
+	for {
+		part, err := r.in.ReadSlice('\n')
+		if err == nil && len(r.long) == 0 {
+			r.line++
+			return part, nil
+		}
+		r.long = append(r.long, part...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err == nil, errors.Is(err, io.EOF) && len(r.long) > 0:
+			r.line++
+			return r.long, nil
+		default:
+			return nil, err
+		}
+	}
+}
+
+// check tells whether the fields that the event's type needs are there.
+func (e *Event) check() error {
+	type need struct {
+		name string
+		here bool
+	}
+	i := need{"i", e.Instance != nil}
+	txn := need{"txn", e.Txn != nil}
+	kind := need{"kind", e.Kind != nil}
+	code := need{"code", e.Code != nil}
+	var needs []need
+	switch e.Type {
+	case "batch":
+		needs = []need{{"time-ms", e.Time != nil}, {"serial", e.Serial != nil}}
+	case "flush":
+	case "enlist":
+		needs = []need{i, {"init-seed", e.Seed != nil}, {"setup", e.Setup != nil}}
+	case "pool":
+		needs = []need{{"ref", e.Ref != nil}}
+	case "backends-changed":
+		needs = []need{i, kind}
+	case "job-in":
+		needs = []need{i, txn, kind}
+	case "resolved":
+		needs = []need{i, txn, code}
+	case "lapsed", "first":
+		needs = []need{i, txn}
+	case "elapsed":
+		needs = []need{i, {"nonce", e.Nonce != nil}}
+	case "status-back", "retire", "neighbour-says":
+		needs = []need{i}
+	case "":
+		return errors.New("message without a type")
+	default:
+		return fmt.Errorf("unknown message type %q", e.Type)
+	}
+	for _, n := range needs {
+		if !n.here {
+			return fmt.Errorf("%s without %s", e.Type, n.name)
+		}
+	}
+	return nil
+}
+
+// Writer writes replies.
+type Writer struct {
+	out *bufio.Writer
+	enc *json.Encoder
+}
+
+// NewWriter returns a Writer on w.
+func NewWriter(w io.Writer) *Writer {
+	out := bufio.NewWriterSize(w, 1<<16)
+	enc := json.NewEncoder(out)
+	enc.SetEscapeHTML(false)
+	return &Writer{out: out, enc: enc}
+}
+
+// Write sends the reply to the batch with that serial number.
+func (w *Writer) Write(serial int64, actions []Action) error {
+	for i := range actions {
+		if err := w.enc.Encode(&actions[i]); err != nil {
+			return fmt.Errorf("write %s: %w", actions[i].Type, err)
+		}
+	}
+	end := struct {
+		Type   string `json:"type"`
+		Serial int64  `json:"serial"`
+	}{"ok", serial}
+	if err := w.enc.Encode(end); err != nil {
+		return fmt.Errorf("write reply: %w", err)
+	}
+	if err := w.out.Flush(); err != nil {
+		return fmt.Errorf("write reply: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/logic/api.go
@@ -0,0 +1,126 @@
+// Package logic is oxbowloft's decision module: which backend gets a call, for
+// how long, whether another attempt follows, and when a request is turned away.
+//
+// This file is the module's whole interface, types only. The decisions are in
+// logic.go. The module does no I/O, has no clock and starts no goroutines: the
+// program around it reports events, each with the time it happened, and carries
+// out the Actions that the module asks for while it handles them.
+package logic
+
+import "time"
+
+// Time is a point on the caller's clock. Only differences matter.
+type Time = time.Duration
+
+// Repeat says what a second run of a request would do.
+type Repeat int
+
+// The repeat rules of a class.
+const (
+	Safe   Repeat = iota // may run any number of times
+	Keyed                // carries a key; some backends drop repeats for a while
+	Unsafe               // must not run twice
+)
+
+// Scope is the set of backends that drop repeats of a keyed request.
+type Scope int
+
+// The scopes of a keyed class.
+const (
+	ScopeAll  Scope = iota // every backend
+	ScopeZone              // the backends of one zone
+	ScopeCell              // the backends of one cell
+)
+
+// Class describes one class of request.
+type Class struct {
+	Name      string
+	Aim       time.Duration // an answer within this earns the full worth
+	Deadline  time.Duration // the client's whole patience, over all its tries
+	Worth     float64
+	LateWorth float64 // share of Worth earned between Aim and Deadline
+	Repeat    Repeat
+	Scope     Scope         // Keyed only
+	Memory    time.Duration // Keyed only: how long repeats are dropped
+}
+
+// Settings is all that a balancer is told at its start.
+type Settings struct {
+	Seed         uint64
+	Zone         string   // this balancer's zone
+	Zones        []string // all zones, in an order that all balancers share
+	Classes      []Class
+	Tier         int // the tier it sends into; 0 faces the clients
+	MaxAttempts  int
+	SecondCopies bool          // two attempts of a request may be out together
+	MaxComeBack  time.Duration // longest come-back time clients obey; 0: none
+	AskForList   bool          // list changes come only once asked for
+	AskWithin    time.Duration // ask at least this often while not watching
+	ColdShare    float64       // share of its capacity a backend starts with
+	WarmWithin   time.Duration // it has all of it after this at the latest
+}
+
+// State is what the list says of a backend.
+type State int
+
+// The states of a backend.
+const (
+	Up       State = iota
+	Draining       // finishes what it has, takes nothing new
+	Removed        // gone
+)
+
+// Backend is one line of the list.
+type Backend struct {
+	ID      string
+	Zone    string
+	Cell    int
+	Size    float64 // compares with other backends' sizes; 0: unknown
+	Started Time    // 0: long ago
+	State   State
+}
+
+// Request is a client's request, or a call from the tier above.
+type Request struct {
+	ID     string
+	Class  int           // index into Settings.Classes
+	Budget time.Duration // time until its caller gives up
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// The results of an attempt.
+const (
+	OK        Result = iota
+	Error            // the backend answered with an error; it may have run
+	Full             // turned away unseen
+	TimedOut         // may have run, may still run
+	NoConnect        // never reached the backend
+	Broken           // connection lost under way; it may have run
+	Cancelled        // may have run
+	NeverSent        // not sent at all
+)
+
+// Outcome reports the end of one attempt.
+type Outcome struct {
+	Request string
+	Attempt int // counts from 0 in the order of sends
+	Result  Result
+	Latency time.Duration // since the send
+	Final   bool          // the request has had its final answer
+}
+
+// Actions carries out what the module decides, in the order of the calls.
+type Actions interface {
+	// Send starts an attempt that times out after timeout.
+	Send(request, backend string, timeout time.Duration)
+	// Refuse answers that the request had no effect and another try is harmless.
+	Refuse(request string, comeBack time.Duration)
+	// Fail answers that the request failed, promising nothing of its effect.
+	Fail(request string)
+	// Wake asks for a Wake event with token after the given time.
+	Wake(token uint64, after time.Duration)
+	// WatchList subscribes to list changes.
+	WatchList()
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,720 @@
+// The decisions. The interface (Settings, Request, Outcome, Backend, Actions)
+// is in api.go; the reasons are in docs/design.md. Functions follow a request's
+// life: arrival, the fit test, choice of a backend, outcome, the next attempt,
+// the answer. Then come the list of backends and what is learned.
+
+package logic
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// What the constants balance. All are ratios; nothing here is a tuned time.
+const (
+	// reserveShare of a request's budget is kept for the answer's way back:
+	// less risks answers after the client left, more gives up useful attempts.
+	reserveShare = 0.02
+
+	// allowanceRank is the percentile that the allowance tracks. Lower retries
+	// sooner and repeats work that was close to done; higher waits on the dead.
+	allowanceRank  = 0.98
+	allowanceStep  = 0.1  // how fast it follows against how much it jitters
+	allowanceFloor = 0.05 // share of the class's deadline; below it lies noise
+	allowanceStart = 0.25 // share of the class's deadline, before any sample
+
+	// backoffShare of the allowance is the first wait, backoffGrowth the factor
+	// of each later one: time to recover against time for the attempt.
+	backoffShare  = 0.1
+	backoffGrowth = 2.0
+
+	// busyFactor is "well above the mean" within a group: lower evens out load
+	// of unlike backends, higher keeps the rotation even.
+	busyFactor = 1.25
+	// spillFactor and spillMargin are "well over the next group's": lower uses
+	// idle zones sooner, higher pays for fewer crossings.
+	spillFactor = 1.5
+	spillMargin = 1.0
+
+	// retryShare of first attempts may be followed by one more on backends that
+	// may have done the work already; retryBurst is what may be saved up.
+	retryShare = 0.1
+	retryBurst = 10
+
+	// A backend is ejected when its failure share is over ejectShare and
+	// ejectFactor times its peers' mean: quick to drop the bad one, deaf to
+	// failures that all share. failureWeight is the weight of one outcome.
+	ejectShare    = 0.3
+	ejectFactor   = 2.0
+	failureWeight = 0.2
+	ejectMost     = 0.5 // never eject more than this share of the backends
+	// ejectPatience is the first ejection as a share of the longest deadline;
+	// each failed trial doubles it, up to ejectGrowth doublings.
+	ejectPatience = 0.5
+	ejectGrowth   = 3
+
+	// strainTarget is the mean latency, as a share of the aim, at which the
+	// limit on calls in flight settles. Lower turns work away that would have
+	// been in time, higher fills queues until answers come late.
+	strainTarget = 0.35
+	strainMost   = 1.0 // one very late call counts no more than this
+	limitStep    = 0.3 // speed of the limit's correction
+	limitPerPeer = 2.0 // limit at the start, for each backend
+	// limitLowest is the share of the limit open to work that is worth next to
+	// nothing for its time; the most worthwhile class has all of it.
+	limitLowest = 0.75
+
+	// comeBackShare of its aim is what a refused client is told to wait.
+	comeBackShare = 0.25
+	// coldCaution divides a cold backend's part: it may be a slow one, too.
+	coldCaution = 1.5
+	// askShare of the ask-within time is the first wait to ask again.
+	askShare = 0.05
+)
+
+const listToken = 0 // the Wake token of the list; requests' tokens follow
+
+// Balancer decides for one proxy. It is not safe for concurrent use.
+type Balancer struct {
+	set      Settings
+	act      Actions
+	rng      *rand.Rand
+	classes  []class
+	backends map[string]*backend
+	groups   []*group // own zone first
+	requests map[string]*request
+	wakes    map[uint64]*request
+	token    uint64
+	askWait  time.Duration
+	patience time.Duration // first ejection
+
+	inFlight    int
+	limit       float64
+	retryTokens float64
+	lastSend    Time
+	sendGap     float64 // mean time between sends
+}
+
+type class struct {
+	Class
+	allowance float64
+	cost      float64 // mean latency of an answer
+}
+
+type group struct {
+	zone    string
+	members []*backend
+	next    int // rotation
+}
+
+type backend struct {
+	Backend
+	inFlight  int
+	failures  float64 // share of recent outcomes
+	ejected   int     // ejections in a row; 0: in use
+	trialAt   Time
+	trialOut  bool
+	notBefore Time // cold: earliest next send
+	listed    bool
+}
+
+type request struct {
+	Request
+	deadline Time
+	reserve  time.Duration
+	attempts []attempt
+	out      int
+	ended    bool
+	token    uint64 // of the backoff under way
+}
+
+type attempt struct {
+	to     *backend
+	sent   Time
+	ended  bool
+	notRun bool // proven
+	trial  bool
+}
+
+// New returns a balancer that acts through act.
+func New(now Time, set Settings, act Actions) *Balancer {
+	b := &Balancer{
+		set: set, act: act,
+		rng:      rand.New(rand.NewPCG(set.Seed, 0)),
+		backends: map[string]*backend{},
+		requests: map[string]*request{},
+		wakes:    map[uint64]*request{},
+		lastSend: now,
+	}
+	longest := time.Duration(0)
+	for _, c := range set.Classes {
+		start := allowanceStart * float64(c.Deadline)
+		b.classes = append(b.classes, class{Class: c, allowance: start, cost: start})
+		longest = max(longest, c.Deadline)
+	}
+	b.patience = time.Duration(ejectPatience * float64(longest))
+	b.askWait = time.Duration(askShare * float64(set.AskWithin))
+	b.sendGap = float64(b.patience)
+	if set.AskForList {
+		act.Wake(listToken, b.jitter(b.askWait)) // all start together; don't ask together
+	}
+	return b
+}
+
+// Arrive takes a request; it will get exactly one final answer.
+func (b *Balancer) Arrive(now Time, r Request) {
+	q := &request{Request: r, deadline: now + r.Budget}
+	q.reserve = time.Duration(reserveShare * float64(r.Budget))
+	b.requests[r.ID] = q
+	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
+	if !b.admit(q) {
+		b.giveUp(q)
+		return
+	}
+	b.try(now, q)
+}
+
+// admit is the concurrency limit, a departure: when answers come late for their
+// aim, queues hold the work, and more of it only makes more answers late. What
+// is worth least for its time is turned away first. Only the tier that faces
+// clients limits: a call refused further down wastes what was done above it.
+func (b *Balancer) admit(q *request) bool {
+	if b.set.Tier > 0 {
+		return true
+	}
+	best := 0.0
+	for i := range b.classes {
+		best = max(best, b.classes[i].value())
+	}
+	part := 1.0
+	if best > 0 {
+		part = limitLowest + (1-limitLowest)*b.classes[q.Class].value()/best
+	}
+	return float64(b.inFlight) < math.Max(1, b.limit*part)
+}
+
+func (c *class) value() float64 { return c.Worth / max(c.cost, 1) }
+
+// available is the time really left for waits and attempts.
+func (q *request) available(now Time) time.Duration {
+	return max(0, q.deadline-now-q.reserve)
+}
+
+// try sends the next attempt if its full allowance fits, and else answers.
+func (b *Balancer) try(now Time, q *request) {
+	allowance := time.Duration(b.classes[q.Class].allowance)
+	if len(q.attempts) >= b.set.MaxAttempts || allowance > q.available(now) {
+		b.unfit(q)
+		b.giveUp(q)
+		return
+	}
+	to := b.pick(now, q)
+	if to == nil {
+		b.giveUp(q)
+		return
+	}
+	b.send(now, q, to, b.timeout(now, q, allowance))
+}
+
+// timeout is the full allowance; where no attempt may follow one that timed
+// out, giving up early gains nothing and the attempt has all that is left.
+func (b *Balancer) timeout(now Time, q *request, allowance time.Duration) time.Duration {
+	if b.classes[q.Class].Repeat == Unsafe {
+		return q.available(now)
+	}
+	return allowance
+}
+
+// unfit guards against an allowance that has grown past every budget: nothing
+// would be sent again, and nothing learned. Each turned-away first try lowers it.
+func (b *Balancer) unfit(q *request) {
+	if len(q.attempts) == 0 {
+		b.classes[q.Class].learn(0)
+	}
+}
+
+func (b *Balancer) send(now Time, q *request, to *backend, timeout time.Duration) {
+	const gapWeight = 0.05
+	b.sendGap += gapWeight * (float64(now-b.lastSend) - b.sendGap)
+	b.lastSend = now
+	if to.warmth(now, &b.set) < 1 {
+		gap := b.sendGap * float64(b.upCount()) * coldCaution / to.warmth(now, &b.set)
+		to.notBefore = now + time.Duration(gap)
+	}
+	trial := to.ejected > 0
+	to.trialOut = to.trialOut || trial
+	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial})
+	q.out++
+	to.inFlight++
+	b.inFlight++
+	b.act.Send(q.ID, to.ID, timeout)
+}
+
+// pick chooses a backend: a trial that is due, or the next in rotation of the
+// first group that is neither failing nor well busier than the one after it.
+func (b *Balancer) pick(now Time, q *request) *backend {
+	if t := b.dueTrial(now, q); t != nil {
+		return t
+	}
+	var usable []*group
+	for _, g := range b.groups {
+		if g.failing() || !slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) }) {
+			continue
+		}
+		usable = append(usable, g)
+	}
+	if len(usable) == 0 {
+		return b.leastFailing(now, q)
+	}
+	i := 0
+	for i+1 < len(usable) && usable[i].load() > spillFactor*usable[i+1].load()+spillMargin {
+		i++
+	}
+	return b.rotate(now, q, usable[i])
+}
+
+// usable tells whether the rules and the backend's state let q go to m now.
+func (b *Balancer) usable(now Time, q *request, m *backend) bool {
+	return m.ejected == 0 && b.allowed(now, q, m)
+}
+
+// allowed holds the rules alone: drains, cold backends, repeats.
+func (b *Balancer) allowed(now Time, q *request, m *backend) bool {
+	return m.listed && m.State == Up && now >= m.notBefore && b.mayRepeat(now, q, m)
+}
+
+// rotate walks the group from the last turn, skipping the well above mean.
+func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
+	most := busyFactor * g.load()
+	var idlest *backend
+	for i := range g.members {
+		at := (g.next + i) % len(g.members)
+		m := g.members[at]
+		if !b.usable(now, q, m) {
+			continue
+		}
+		if m.load() <= most {
+			g.next = at + 1
+			return m
+		}
+		if idlest == nil || m.load() < idlest.load() {
+			idlest = m
+		}
+	}
+	return idlest
+}
+
+// dueTrial finds an ejected backend whose trial call is due. A trial may fail,
+// so it is made with a request that can be tried again.
+func (b *Balancer) dueTrial(now Time, q *request) *backend {
+	if len(q.attempts) > 0 || b.classes[q.Class].Repeat == Unsafe {
+		return nil
+	}
+	if 2*b.classes[q.Class].allowance > float64(q.available(now)) {
+		return nil
+	}
+	for _, g := range b.groups {
+		for _, m := range g.members {
+			if m.ejected > 0 && !m.trialOut && now >= m.trialAt && b.allowed(now, q, m) {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// leastFailing serves when every group fails.
+func (b *Balancer) leastFailing(now Time, q *request) *backend {
+	var best *backend
+	for _, g := range b.groups {
+		for _, m := range g.members {
+			if !b.allowed(now, q, m) {
+				continue
+			}
+			if best == nil || m.failures < best.failures ||
+				m.failures == best.failures && m.load() < best.load() {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+// failing tells whether over half of the group is out of use.
+func (g *group) failing() bool {
+	up, bad := 0, 0
+	for _, m := range g.members {
+		if m.State == Up {
+			up++
+			if m.ejected > 0 {
+				bad++
+			}
+		}
+	}
+	return 2*bad > up || up == 0
+}
+
+// load is the mean of own calls in flight, for each unit of size.
+func (g *group) load() float64 {
+	calls, size := 0.0, 0.0
+	for _, m := range g.members {
+		if m.State == Up && m.ejected == 0 {
+			calls += float64(m.inFlight)
+			size += m.Size
+		}
+	}
+	return calls / max(size, 1e-9)
+}
+
+func (m *backend) load() float64 { return float64(m.inFlight) / m.Size }
+
+// warmth is the share of its capacity that a backend surely has.
+func (m *backend) warmth(now Time, set *Settings) float64 {
+	if m.Started == 0 || set.WarmWithin == 0 || now-m.Started >= set.WarmWithin {
+		return 1
+	}
+	age := max(0, float64(now-m.Started)/float64(set.WarmWithin))
+	return max(0.01, set.ColdShare+(1-set.ColdShare)*age)
+}
+
+// Done takes the end of an attempt; each attempt has exactly one.
+func (b *Balancer) Done(now Time, o Outcome) {
+	q := b.requests[o.Request]
+	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || q.attempts[o.Attempt].ended {
+		return
+	}
+	a := &q.attempts[o.Attempt]
+	a.ended = true
+	a.notRun = o.Result == Full || o.Result == NoConnect || o.Result == NeverSent
+	q.out--
+	a.to.inFlight--
+	b.inFlight--
+	b.learnFrom(now, q, a, o)
+	if o.Final {
+		q.ended = true
+	}
+	if !q.ended && q.out == 0 {
+		b.again(now, q, a)
+	}
+	b.forget(q)
+}
+
+// again waits for the next attempt if wait and allowance fit, and else answers.
+func (b *Balancer) again(now Time, q *request, last *attempt) {
+	allowance := b.classes[q.Class].allowance
+	wait := allowance * backoffShare * math.Pow(backoffGrowth, float64(len(q.attempts)-1))
+	wait = float64(b.jitter(time.Duration(wait)))
+	fits := wait+allowance <= float64(q.available(now))
+	if len(q.attempts) >= b.set.MaxAttempts || !fits || !b.repeatable(now, q) || !b.spendRetry(last) {
+		b.giveUp(q)
+		return
+	}
+	b.token++
+	q.token = b.token
+	b.wakes[q.token] = q
+	b.act.Wake(q.token, time.Duration(wait))
+}
+
+// spendRetry is the retry traffic budget, a departure: when all backends slow
+// together every allowance is short and retries would burn what is left. Only
+// attempts after one that may have been worked on count.
+func (b *Balancer) spendRetry(last *attempt) bool {
+	if last.notRun {
+		return true
+	}
+	if b.retryTokens < 1 {
+		return false
+	}
+	b.retryTokens--
+	return true
+}
+
+// Wake takes the end of a wait that was asked for.
+func (b *Balancer) Wake(now Time, token uint64) {
+	if token == listToken {
+		b.act.WatchList()
+		return
+	}
+	q := b.wakes[token]
+	delete(b.wakes, token)
+	if q != nil && !q.ended {
+		q.token = 0
+		b.try(now, q)
+		b.forget(q)
+	}
+}
+
+// Gone takes that a request has ended without us: its client left.
+func (b *Balancer) Gone(now Time, id string) {
+	if q := b.requests[id]; q != nil {
+		q.ended = true
+		b.forget(q)
+	}
+}
+
+// mayHaveRun is the first attempt not proven to have had no effect, or nil.
+func (q *request) mayHaveRun() *attempt {
+	for i := range q.attempts {
+		if !q.attempts[i].notRun {
+			return &q.attempts[i]
+		}
+	}
+	return nil
+}
+
+// mayRepeat is the one place that lets an attempt of q go to m: no effect twice.
+func (b *Balancer) mayRepeat(now Time, q *request, m *backend) bool {
+	if !b.repeatable(now, q) {
+		return false
+	}
+	c, ran := &b.classes[q.Class], q.mayHaveRun()
+	if c.Repeat != Keyed || ran == nil {
+		return true
+	}
+	switch c.Scope {
+	case ScopeZone:
+		return m.Zone == ran.to.Zone
+	case ScopeCell:
+		return m.Cell == ran.to.Cell
+	}
+	return true
+}
+
+// repeatable tells whether any backend may get another attempt of q.
+func (b *Balancer) repeatable(now Time, q *request) bool {
+	const memoryShare = 0.9 // the send must reach the backend while it remembers
+	if q.out > 0 {
+		return false // one attempt at a time
+	}
+	c, ran := &b.classes[q.Class], q.mayHaveRun()
+	switch {
+	case ran == nil || c.Repeat == Safe:
+		return true
+	case c.Repeat == Keyed:
+		return float64(now-ran.sent) < memoryShare*float64(c.Memory)
+	}
+	return false
+}
+
+// mayRefuse tells whether another try by the client is proven harmless.
+func (b *Balancer) mayRefuse(q *request) bool {
+	c := &b.classes[q.Class]
+	return c.Repeat == Safe || q.mayHaveRun() == nil || c.Repeat == Keyed && c.Scope == ScopeAll
+}
+
+// giveUp is the only place that answers a request: at once, and once.
+func (b *Balancer) giveUp(q *request) {
+	if q.ended {
+		return
+	}
+	q.ended = true
+	if b.mayRefuse(q) {
+		wait := comeBackShare * float64(b.classes[q.Class].Aim)
+		b.act.Refuse(q.ID, min(b.set.MaxComeBack, time.Duration(wait)))
+	} else {
+		b.act.Fail(q.ID)
+	}
+	b.forget(q)
+}
+
+// forget drops an ended request once none of its attempts is out.
+func (b *Balancer) forget(q *request) {
+	if !q.ended {
+		return
+	}
+	delete(b.wakes, q.token)
+	if q.out == 0 {
+		delete(b.requests, q.ID)
+	}
+}
+
+// learnFrom draws from an outcome: latency, the backend's health, the limit.
+func (b *Balancer) learnFrom(now Time, q *request, a *attempt, o Outcome) {
+	c := &b.classes[q.Class]
+	switch o.Result {
+	case OK:
+		c.learn(float64(o.Latency))
+		c.cost += failureWeight / 4 * (float64(o.Latency) - c.cost)
+	case TimedOut:
+		c.learn(max(c.allowance, float64(o.Latency)))
+	}
+	if o.Result == OK || o.Result == TimedOut {
+		b.correctLimit(float64(o.Latency) / float64(max(c.Aim, 1)))
+	}
+	b.judge(now, a, o.Result)
+}
+
+// learn moves the allowance towards its percentile: one sample above weighs as
+// many below as the percentile says. A time-out counts as one above.
+func (c *class) learn(latency float64) {
+	if latency >= c.allowance {
+		c.allowance *= math.Exp(allowanceStep * allowanceRank)
+	} else {
+		c.allowance *= math.Exp(-allowanceStep * (1 - allowanceRank))
+	}
+	deadline := float64(c.Deadline)
+	c.allowance = min(max(c.allowance, allowanceFloor*deadline), deadline)
+}
+
+// correctLimit moves the limit until the mean strain is on target. It grows only
+// while it is in use, so that a quiet hour does not open it to a flood.
+func (b *Balancer) correctLimit(strain float64) {
+	step := limitStep * (strainTarget - min(strain, strainMost))
+	if step < 0 || float64(b.inFlight+1) > b.limit/2 {
+		b.limit = max(float64(len(b.groups)), b.limit+step)
+	}
+}
+
+// judge keeps each backend's failure share and ejects outliers, a departure:
+// one that fails fast has few calls in flight and would draw the most.
+func (b *Balancer) judge(now Time, a *attempt, r Result) {
+	failed := 0.0
+	switch r {
+	case OK:
+	case Error, TimedOut, NoConnect, Broken:
+		failed = 1
+	default:
+		if a.trial {
+			a.to.trialOut = false
+		}
+		return
+	}
+	m := a.to
+	m.failures += failureWeight * (failed - m.failures)
+	switch {
+	case a.trial:
+		m.trialOut = false
+		if failed == 0 {
+			m.ejected, m.failures = 0, 0
+		} else if m.ejected > 0 {
+			b.eject(now, m)
+		}
+	case failed == 1 && m.ejected == 0 && b.outlier(m):
+		b.eject(now, m)
+	}
+}
+
+func (b *Balancer) eject(now Time, m *backend) {
+	wait := b.patience << min(m.ejected, ejectGrowth)
+	m.ejected++
+	m.trialAt = now + b.jitter(wait)
+}
+
+func (b *Balancer) outlier(m *backend) bool {
+	sum, peers, ejected := 0.0, 0, 0
+	for _, g := range b.groups {
+		for _, p := range g.members {
+			if p.ejected > 0 {
+				ejected++
+			} else if p != m {
+				sum += p.failures
+				peers++
+			}
+		}
+	}
+	if float64(ejected+1) > ejectMost*float64(peers+ejected+1) {
+		return false
+	}
+	return m.failures > ejectShare && m.failures > ejectFactor*sum/float64(max(peers, 1))
+}
+
+// List takes news of the backends: the full list, or changed lines only.
+func (b *Balancer) List(now Time, full bool, lines []Backend) {
+	b.askWait = time.Duration(askShare * float64(b.set.AskWithin))
+	if full {
+		for _, g := range b.groups {
+			for _, m := range g.members {
+				m.listed = false
+			}
+		}
+	}
+	for _, l := range lines {
+		b.update(l)
+	}
+	b.regroup()
+	if b.limit == 0 {
+		b.limit = limitPerPeer * float64(b.upCount())
+	}
+}
+
+func (b *Balancer) update(l Backend) {
+	if l.Size <= 0 {
+		l.Size = 1
+	}
+	m := b.backends[l.ID]
+	if m == nil {
+		m = &backend{}
+		b.backends[l.ID] = m
+	} else if l.Started != m.Started { // restarted: nothing learned holds
+		m.failures, m.ejected = 0, 0
+	}
+	m.Backend = l
+	m.listed = l.State != Removed
+}
+
+// regroup orders the groups: own zone, then the others around the ring of zones,
+// so that balancers of different zones spill into different ones.
+func (b *Balancer) regroup() {
+	own := max(0, slices.Index(b.set.Zones, b.set.Zone))
+	rank := func(zone string) int {
+		i := slices.Index(b.set.Zones, zone)
+		if i < 0 {
+			return len(b.set.Zones)
+		}
+		return (i - own + len(b.set.Zones)) % len(b.set.Zones)
+	}
+	ids := make([]string, 0, len(b.backends))
+	for id, m := range b.backends {
+		if m.listed {
+			ids = append(ids, id)
+		} else {
+			delete(b.backends, id) // attempts still out hold their own pointer
+		}
+	}
+	slices.Sort(ids)
+	byZone := map[string]*group{}
+	for _, g := range b.groups {
+		g.members = g.members[:0]
+		byZone[g.zone] = g
+	}
+	for _, id := range ids {
+		m := b.backends[id]
+		g := byZone[m.Zone]
+		if g == nil {
+			g = &group{zone: m.Zone, next: b.rng.IntN(1 << 16)}
+			byZone[m.Zone] = g
+			b.groups = append(b.groups, g)
+		}
+		g.members = append(g.members, m)
+	}
+	b.groups = slices.DeleteFunc(b.groups, func(g *group) bool { return len(g.members) == 0 })
+	slices.SortStableFunc(b.groups, func(x, y *group) int { return rank(x.zone) - rank(y.zone) })
+}
+
+// ListFailed takes that asking failed or the watch broke: ask again, later and
+// later, but well inside the time after which silence counts as knowing.
+func (b *Balancer) ListFailed(now Time) {
+	if b.set.AskForList {
+		b.act.Wake(listToken, b.jitter(b.askWait))
+		b.askWait = min(2*b.askWait, b.set.AskWithin/4)
+	}
+}
+
+func (b *Balancer) upCount() int {
+	n := 0
+	for _, g := range b.groups {
+		for _, m := range g.members {
+			if m.State == Up {
+				n++
+			}
+		}
+	}
+	return max(n, 1)
+}
+
+// jitter spreads d over half to one and a half times itself.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return max(1, time.Duration((0.5+b.rng.Float64())*float64(d)))
+}
