--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,8 +22,11 @@
 	// sooner and repeats work that was close to done; higher waits on the dead.
 	allowanceRank  = 0.98
 	allowanceStep  = 0.1  // how fast it follows against how much it jitters
-	allowanceFloor = 0.05 // share of the class's deadline; below it lies noise
-	allowanceStart = 0.25 // share of the class's deadline, before any sample
+	allowanceFloor = 0.02 // share of the class's deadline; below it lies noise
+	allowanceStart = 0.25 // share of the first budget seen, before any sample
+	// lateError is the share of the allowance after which an error counts as a
+	// time-out: the tier below most likely ran out of the time we passed on.
+	lateError = 0.5
 
 	// backoffShare of the allowance is the first wait, backoffGrowth the factor
 	// of each later one: time to recover against time for the attempt.
@@ -150,8 +153,7 @@
 	}
 	longest := time.Duration(0)
 	for _, c := range set.Classes {
-		start := allowanceStart * float64(c.Deadline)
-		b.classes = append(b.classes, class{Class: c, allowance: start, cost: start})
+		b.classes = append(b.classes, class{Class: c})
 		longest = max(longest, c.Deadline)
 	}
 	b.patience = time.Duration(ejectPatience * float64(longest))
@@ -168,6 +170,7 @@
 	q := &request{Request: r, deadline: now + r.Budget}
 	q.reserve = time.Duration(reserveShare * float64(r.Budget))
 	b.requests[r.ID] = q
+	b.classes[r.Class].begin(r.Budget)
 	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
 	if !b.admit(q) {
 		b.giveUp(q)
@@ -538,7 +541,11 @@
 		c.learn(float64(o.Latency))
 		c.cost += failureWeight / 4 * (float64(o.Latency) - c.cost)
 	case TimedOut:
-		c.learn(max(c.allowance, float64(o.Latency)))
+		c.learn(c.allowance)
+	case Error: // guards against an allowance that only ever sees the quick ones
+		if float64(o.Latency) > lateError*c.allowance {
+			c.learn(c.allowance)
+		}
 	}
 	if o.Result == OK || o.Result == TimedOut {
 		b.correctLimit(float64(o.Latency) / float64(max(c.Aim, 1)))
@@ -546,6 +553,15 @@
 	b.judge(now, a, o.Result)
 }
 
+// begin sets the first allowance. The budget is the better guide: further down
+// it is a small part of the class's deadline.
+func (c *class) begin(budget time.Duration) {
+	if c.allowance == 0 {
+		c.allowance = max(allowanceStart*float64(budget), allowanceFloor*float64(c.Deadline))
+		c.cost = c.allowance
+	}
+}
+
 // learn moves the allowance towards its percentile: one sample above weighs as
 // many below as the percentile says. A time-out counts as one above.
 func (c *class) learn(latency float64) {
