--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -90,7 +90,7 @@
 		if !ok {
 			return fmt.Errorf("unknown class %q", *e.Kind)
 		}
-		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: duration(e.Budget)})
+		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: duration(*e.Budget)})
 	case "resolved":
 		return in.resolved(now, e)
 	case "lapsed":
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,16 +14,16 @@
 // An Event is one line of a batch. Which fields are set depends on Type; Read
 // makes sure that those its type needs are there. Unknown fields are skipped.
 type Event struct {
-	Type     string  `json:"type"`
-	Instance *int    `json:"i"`
-	Txn      *string `json:"txn"`
-	Kind     *string `json:"kind"`
-	Backend  *string `json:"backend"`
-	Shot     int     `json:"shot"`
-	Code     *int    `json:"code"`
-	Latency  float64 `json:"latency-ms"`
-	Terminal bool    `json:"terminal"`
-	Budget   float64 `json:"budget-ms"`
+	Type     string   `json:"type"`
+	Instance *int     `json:"i"`
+	Txn      *string  `json:"txn"`
+	Kind     *string  `json:"kind"`
+	Backend  *string  `json:"backend"`
+	Shot     int      `json:"shot"`
+	Code     *int     `json:"code"`
+	Latency  float64  `json:"latency-ms"`
+	Terminal bool     `json:"terminal"`
+	Budget   *float64 `json:"budget-ms"`
 
 	Nonce    *uint64   `json:"nonce"`
 	Ref      *int      `json:"ref"`
@@ -189,7 +189,7 @@
 	case "backends-changed":
 		needs = []need{i, kind}
 	case "job-in":
-		needs = []need{i, txn, kind}
+		needs = []need{i, txn, kind, {"budget-ms", e.Budget != nil}}
 	case "resolved":
 		needs = []need{i, txn, code}
 	case "lapsed", "first":
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,7 +61,7 @@
 	// strainTarget is the mean latency, as a share of the aim, at which the
 	// limit on calls in flight settles. Lower turns work away that would have
 	// been in time, higher fills queues until answers come late.
-	strainTarget = 0.35
+	strainTarget = 0.25
 	strainMost   = 1.0 // one very late call counts no more than this
 	limitStep    = 0.3 // speed of the limit's correction
 	limitPerPeer = 2.0 // limit at the start, for each backend
@@ -198,7 +198,13 @@
 	return float64(b.inFlight) < math.Max(1, b.limit*part)
 }
 
-func (c *class) value() float64 { return c.Worth / max(c.cost, 1) }
+// value is the worth for each unit of time; 0 before the class was ever seen.
+func (c *class) value() float64 {
+	if c.cost == 0 {
+		return 0
+	}
+	return c.Worth / c.cost
+}
 
 // available is the time really left for waits and attempts.
 func (q *request) available(now Time) time.Duration {
@@ -263,10 +269,10 @@
 	}
 	var usable []*group
 	for _, g := range b.groups {
-		if g.failing() || !slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) }) {
-			continue
+		takes := func(m *backend) bool { return b.usable(now, q, m) }
+		if !g.failing() && slices.ContainsFunc(g.members, takes) {
+			usable = append(usable, g)
 		}
-		usable = append(usable, g)
 	}
 	if len(usable) == 0 {
 		return b.leastFailing(now, q)
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,650 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// answer is a final answer given through the fake.
+type answer struct {
+	refused  bool
+	comeBack time.Duration
+}
+
+type sent struct {
+	request, backend string
+	timeout          time.Duration
+}
+
+// fake is Actions that remembers.
+type fake struct {
+	sends   []sent
+	answers map[string][]answer
+	wakes   map[uint64]time.Duration
+	watches int
+}
+
+func newFake() *fake {
+	return &fake{answers: map[string][]answer{}, wakes: map[uint64]time.Duration{}}
+}
+
+func (f *fake) Send(request, backend string, timeout time.Duration) {
+	f.sends = append(f.sends, sent{request, backend, timeout})
+}
+
+func (f *fake) Refuse(request string, comeBack time.Duration) {
+	f.answers[request] = append(f.answers[request], answer{true, comeBack})
+}
+
+func (f *fake) Fail(request string) {
+	f.answers[request] = append(f.answers[request], answer{})
+}
+
+func (f *fake) Wake(token uint64, after time.Duration) { f.wakes[token] = after }
+func (f *fake) WatchList()                             { f.watches++ }
+
+// last is the newest send.
+func (f *fake) last(t *testing.T) sent {
+	t.Helper()
+	if len(f.sends) == 0 {
+		t.Fatal("nothing sent")
+	}
+	return f.sends[len(f.sends)-1]
+}
+
+// wait takes the one wake that is not the list's.
+func (f *fake) wait(t *testing.T) (uint64, time.Duration) {
+	t.Helper()
+	for token, after := range f.wakes {
+		if token != listToken {
+			delete(f.wakes, token)
+			return token, after
+		}
+	}
+	t.Fatal("no wake asked for")
+	return 0, 0
+}
+
+func testSettings() Settings {
+	class := func(name string, r Repeat, s Scope, worth float64) Class {
+		return Class{Name: name, Aim: 500 * ms, Deadline: 2000 * ms, Worth: worth, Repeat: r, Scope: s,
+			Memory: 1000 * ms}
+	}
+	return Settings{
+		Seed: 7, Zone: "b", Zones: []string{"a", "b", "c"},
+		Classes: []Class{
+			class("safe", Safe, ScopeAll, 10), class("keyed", Keyed, ScopeAll, 1),
+			class("keyed in zone", Keyed, ScopeZone, 1), class("keyed in cell", Keyed, ScopeCell, 1),
+			class("unsafe", Unsafe, ScopeAll, 1),
+		},
+		MaxAttempts: 3, MaxComeBack: 100 * ms,
+		ColdShare: 0.1, WarmWithin: 10000 * ms,
+	}
+}
+
+const safe, keyed, keyedZone, keyedCell, unsafe = 0, 1, 2, 3, 4
+
+// line is a backend in a zone; its cell is that of its number.
+func line(zone string, n int) Backend {
+	return Backend{ID: fmt.Sprintf("%s%d", zone, n), Zone: zone, Cell: n, Size: 1}
+}
+
+func zoneLines(zone string, n int) []Backend {
+	var lines []Backend
+	for i := range n {
+		lines = append(lines, line(zone, i))
+	}
+	return lines
+}
+
+// start is a balancer at time 0 with the given backends.
+func start(set Settings, lines ...Backend) (*Balancer, *fake) {
+	f := newFake()
+	b := New(0, set, f)
+	b.List(0, true, lines)
+	return b, f
+}
+
+func (f *fake) one(t *testing.T, id string) answer {
+	t.Helper()
+	if len(f.answers[id]) != 1 {
+		t.Fatalf("%s has %d answers, want 1", id, len(f.answers[id]))
+	}
+	return f.answers[id][0]
+}
+
+func TestFitBeforeFirstAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		budget time.Duration
+		sends  int
+	}{
+		{"whole allowance fits", 103 * ms, 1},
+		{"fits but for the reserve", 101 * ms, 0},
+		{"does not fit", 50 * ms, 0},
+		{"no time at all", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, f := start(testSettings(), line("b", 1))
+			b.classes[safe].allowance = float64(100 * ms)
+			b.Arrive(0, Request{ID: "r", Class: safe, Budget: c.budget})
+			if len(f.sends) != c.sends {
+				t.Fatalf("%d sends, want %d", len(f.sends), c.sends)
+			}
+			if c.sends == 1 && f.sends[0].timeout != 100*ms {
+				t.Errorf("time-out %v, want the full allowance", f.sends[0].timeout)
+			}
+			if c.sends == 0 && !f.one(t, "r").refused {
+				t.Error("nothing was sent, yet the answer is not a refusal")
+			}
+		})
+	}
+}
+
+func TestNextAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   int
+		result  Result
+		after   time.Duration // of the outcome
+		retried bool
+		refused bool // if not retried
+	}{
+		{"safe after an error", safe, Error, 50 * ms, true, false},
+		{"safe after a time-out", safe, TimedOut, 100 * ms, true, false},
+		{"safe, but nothing fits", safe, TimedOut, 1900 * ms, false, true},
+		{"keyed after a time-out", keyed, TimedOut, 100 * ms, true, false},
+		{"keyed, forgotten by the backends", keyed, TimedOut, 950 * ms, false, true},
+		{"keyed in a zone, forgotten there", keyedZone, TimedOut, 950 * ms, false, false},
+		{"unsafe, proven not run", unsafe, Full, 10 * ms, true, false},
+		{"unsafe, no connection", unsafe, NoConnect, 10 * ms, true, false},
+		{"unsafe after an error", unsafe, Error, 10 * ms, false, false},
+		{"unsafe after a broken connection", unsafe, Broken, 10 * ms, false, false},
+		{"unsafe after a time-out", unsafe, TimedOut, 10 * ms, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, f := start(testSettings(), line("b", 1), line("b", 2))
+			b.retryTokens = 5
+			b.classes[c.class].allowance = float64(100 * ms)
+			b.Arrive(0, Request{ID: "r", Class: c.class, Budget: 2000 * ms})
+			b.Done(c.after, Outcome{Request: "r", Result: c.result, Latency: c.after})
+			if !c.retried {
+				if got := f.one(t, "r"); got.refused != c.refused {
+					t.Errorf("refused = %v, want %v", got.refused, c.refused)
+				}
+				if len(b.requests) != 0 {
+					t.Error("an answered request is still held")
+				}
+				return
+			}
+			token, wait := f.wait(t)
+			if wait <= 0 {
+				t.Error("no backoff")
+			}
+			b.Wake(c.after+wait, token)
+			if len(f.sends) != 2 {
+				t.Fatalf("%d sends, want 2", len(f.sends))
+			}
+			end := c.after + wait + 10*ms
+			b.Done(end, Outcome{Request: "r", Attempt: 1, Result: OK, Latency: 10 * ms, Final: true})
+			if len(f.answers["r"]) != 0 || len(b.requests) != 0 {
+				t.Error("a served request was answered again or is still held")
+			}
+		})
+	}
+}
+
+// The fit is tested again when the backoff is over: timers may run late.
+func TestFitAfterBackoff(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1))
+	b.retryTokens = 5
+	b.classes[safe].allowance = float64(100 * ms)
+	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 1000 * ms})
+	b.Done(100*ms, Outcome{Request: "r", Result: Error, Latency: 100 * ms})
+	token, _ := f.wait(t)
+	b.Wake(900*ms, token)
+	if len(f.sends) != 1 || !f.one(t, "r").refused {
+		t.Error("sent though the allowance no longer fits")
+	}
+}
+
+func TestBackoffGrows(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1))
+	b.set.MaxAttempts = 10
+	b.classes[safe].allowance = float64(100 * ms)
+	now := Time(0)
+	b.Arrive(now, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+	var waits []time.Duration
+	for i := range 4 {
+		b.Done(now, Outcome{Request: "r", Attempt: i, Result: Full})
+		token, wait := f.wait(t)
+		waits = append(waits, wait)
+		now += wait
+		b.Wake(now, token)
+	}
+	for i, w := range waits {
+		mean := time.Duration(float64(100*ms)*backoffShare) << i
+		if w < mean/2 || w > mean*3/2 {
+			t.Errorf("wait %d is %v, want %v with jitter", i, w, mean)
+		}
+	}
+}
+
+func TestAttemptsAreACeiling(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1))
+	b.classes[safe].allowance = float64(10 * ms)
+	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+	for i := range 3 {
+		b.Done(Time(i)*20*ms, Outcome{Request: "r", Attempt: i, Result: Full})
+		if i < 2 {
+			token, _ := f.wait(t)
+			b.Wake(Time(i)*20*ms+10*ms, token)
+		}
+	}
+	if len(f.sends) != 3 || !f.one(t, "r").refused {
+		t.Errorf("%d sends, want the ceiling of 3 and a refusal", len(f.sends))
+	}
+}
+
+// A keyed request that may have run goes only to backends that drop its repeat.
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	lines := []Backend{line("b", 1), line("b", 2), line("a", 1), line("c", 2)}
+	for _, c := range []struct {
+		class int
+		same  func(x, y Backend) bool
+	}{
+		{keyedZone, func(x, y Backend) bool { return x.Zone == y.Zone }},
+		{keyedCell, func(x, y Backend) bool { return x.Cell == y.Cell }},
+	} {
+		b, f := start(testSettings(), lines...)
+		byID := map[string]Backend{}
+		for _, l := range lines {
+			byID[l.ID] = l
+		}
+		for i := range 40 {
+			id := fmt.Sprint("r", i)
+			now := Time(i) * 1000 * ms
+			b.retryTokens = 5
+			b.classes[c.class].allowance = float64(100 * ms)
+			b.Arrive(now, Request{ID: id, Class: c.class, Budget: 2000 * ms})
+			first := byID[f.last(t).backend]
+			b.Done(now+50*ms, Outcome{Request: id, Result: Broken, Latency: 50 * ms})
+			if len(f.answers[id]) > 0 {
+				continue
+			}
+			token, wait := f.wait(t)
+			sends := len(f.sends)
+			b.Wake(now+50*ms+wait, token)
+			if len(f.sends) == sends {
+				f.one(t, id)
+				continue
+			}
+			if second := byID[f.last(t).backend]; !c.same(first, second) {
+				t.Fatalf("class %d: %s, then %s", c.class, first.ID, second.ID)
+			}
+			b.Done(now+90*ms, Outcome{Request: id, Attempt: 1, Result: OK, Final: true})
+		}
+	}
+}
+
+func TestNothingAfterTheEnd(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1))
+	b.classes[safe].allowance = float64(100 * ms)
+	b.retryTokens = 5
+	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+	b.Done(10*ms, Outcome{Request: "r", Result: Error})
+	token, _ := f.wait(t)
+	b.Gone(15*ms, "r")
+	b.Wake(20*ms, token)
+	b.Done(30*ms, Outcome{Request: "r", Result: OK})
+	b.Gone(35*ms, "r")
+	b.Gone(35*ms, "never heard of")
+	if len(f.sends) != 1 || len(f.answers) != 0 {
+		t.Errorf("after the client left: %d sends, answers %v", len(f.sends), f.answers)
+	}
+	if len(b.requests)+len(b.wakes) != 0 {
+		t.Error("an ended request is still held")
+	}
+}
+
+func TestLateOutcomeOfEndedRequest(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1))
+	b.Arrive(0, Request{ID: "r", Class: unsafe, Budget: 2000 * ms})
+	b.Gone(10*ms, "r")
+	if b.inFlight != 1 {
+		t.Errorf("%d in flight, want 1: the attempt is still out", b.inFlight)
+	}
+	b.Done(20*ms, Outcome{Request: "r", Result: Cancelled})
+	b.Done(20*ms, Outcome{Request: "r", Result: Cancelled}) // repeated: ignored
+	if b.inFlight != 0 || len(b.requests) != 0 || len(f.answers) != 0 {
+		t.Errorf("in flight %d, held %d, answers %v", b.inFlight, len(b.requests), f.answers)
+	}
+}
+
+func TestDrain(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1), line("b", 2))
+	b.classes[safe].allowance = float64(100 * ms)
+	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+	b.Done(10*ms, Outcome{Request: "r", Result: Full})
+	token, wait := f.wait(t)
+	for _, id := range []string{"b1", "b2"} { // while the retry waits
+		l := line("b", int(id[1]-'0'))
+		l.State = Draining
+		if id == "b2" {
+			l.State = Removed
+		}
+		b.List(15*ms, false, []Backend{l})
+	}
+	b.Wake(10*ms+wait, token)
+	b.Arrive(200*ms, Request{ID: "s", Class: safe, Budget: 2000 * ms})
+	if len(f.sends) != 1 {
+		t.Errorf("sent to %s, which drains or is gone", f.last(t).backend)
+	}
+	f.one(t, "r")
+	f.one(t, "s")
+	b.List(300*ms, true, []Backend{line("b", 3)}) // a full list without b1 and b2
+	b.Arrive(300*ms, Request{ID: "u", Class: safe, Budget: 2000 * ms})
+	if f.last(t).backend != "b3" {
+		t.Errorf("sent to %s, want b3", f.last(t).backend)
+	}
+	if len(b.backends) != 1 {
+		t.Errorf("%d backends remembered, want 1", len(b.backends))
+	}
+}
+
+func TestEmptyList(t *testing.T) {
+	b, f := start(testSettings())
+	b.Arrive(0, Request{ID: "r", Class: unsafe, Budget: 2000 * ms})
+	if !f.one(t, "r").refused {
+		t.Error("nothing was sent, yet the answer is not a refusal")
+	}
+}
+
+// Guards against pushing a cold backend over: whatever its warm peers are doing,
+// it gets no more than its part, and that spread out.
+func TestColdBackendGetsItsPart(t *testing.T) {
+	cold := line("b", 9)
+	cold.Started = 1
+	b, f := start(testSettings(), append(zoneLines("b", 4), cold)...)
+	b.set.Tier = 1
+	counts := map[string]int{}
+	run := Time(0)
+	for i := range 400 {
+		run = Time(i) * 5 * ms
+		id := fmt.Sprint("r", i)
+		b.Arrive(run, Request{ID: id, Class: safe, Budget: 2000 * ms})
+		counts[f.last(t).backend]++
+		b.Done(run+2*ms, Outcome{Request: id, Result: OK, Latency: 2 * ms, Final: true})
+	}
+	warm := float64(counts["b0"]+counts["b1"]+counts["b2"]+counts["b3"]) / 4
+	if share := float64(counts["b9"]) / warm; share == 0 || share > 0.3 {
+		t.Errorf("the cold backend got %.2f of a warm one's calls, want its small part", share)
+	}
+}
+
+func TestOnlyColdBackends(t *testing.T) {
+	cold := line("b", 1)
+	cold.Started = 1
+	b, f := start(testSettings(), cold)
+	b.set.Tier = 1
+	for i := range 10 {
+		b.Arrive(Time(i)*ms, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 2000 * ms})
+	}
+	if len(f.sends) != 1 {
+		t.Errorf("a burst of %d calls at a cold backend, want 1", len(f.sends))
+	}
+}
+
+func TestOwnZoneFirstThenSpill(t *testing.T) {
+	b, f := start(testSettings(), append(zoneLines("b", 2), zoneLines("c", 2)...)...)
+	b.set.Tier = 1
+	zones := map[byte]int{}
+	for i := range 12 {
+		b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 2000 * ms})
+		zone := f.last(t).backend[0]
+		if i < 2 && zone != 'b' {
+			t.Errorf("call %d left the own zone while it was idle", i)
+		}
+		zones[zone]++
+	}
+	if zones['c'] == 0 || zones['c'] >= zones['b'] {
+		t.Errorf("calls by zone %v, want most at home and some next door", zones)
+	}
+}
+
+func TestRotationSkipsTheBusy(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 4)...)
+	b.set.Tier = 1
+	seen := map[string]int{}
+	for i := range 8 {
+		b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 2000 * ms})
+		seen[f.last(t).backend]++
+	}
+	for id, n := range seen {
+		if n != 2 {
+			t.Errorf("%s got %d of 8 calls, want 2: %v", id, n, seen)
+		}
+	}
+	b.backends["b2"].inFlight += 20
+	for i := range 6 {
+		b.Arrive(0, Request{ID: fmt.Sprint("s", i), Class: safe, Budget: 2000 * ms})
+		if f.last(t).backend == "b2" {
+			t.Error("sent to the backend well above the mean")
+		}
+	}
+}
+
+// Guards against a backend that fails fast: it looks idle and draws the calls.
+func TestEjectionAndTrial(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 4)...)
+	b.set.Tier = 1
+	n := 0
+	call := func(now Time, bad bool) string {
+		id := fmt.Sprint("r", n)
+		n++
+		b.retryTokens = 0
+		b.Arrive(now, Request{ID: id, Class: safe, Budget: 2000 * ms})
+		to := f.last(t).backend
+		if bad && to == "b2" {
+			b.Done(now+ms, Outcome{Request: id, Result: Error, Latency: ms})
+		} else {
+			b.Done(now+ms, Outcome{Request: id, Result: OK, Latency: ms, Final: true})
+		}
+		return to
+	}
+	for i := range 40 {
+		call(Time(i)*ms, true)
+	}
+	for i := range 20 {
+		if call(100*ms+Time(i), true) == "b2" {
+			t.Fatal("the failing backend still gets calls")
+		}
+	}
+	later := b.backends["b2"].trialAt
+	if call(later, true) != "b2" {
+		t.Fatal("no trial call when it is due")
+	}
+	if call(later+2*ms, true) == "b2" {
+		t.Fatal("in use again after a failed trial")
+	}
+	if next := b.backends["b2"].trialAt; next-later <= b.patience {
+		t.Errorf("second ejection lasts %v, want longer than the first", next-later)
+	}
+	later = b.backends["b2"].trialAt
+	if call(later, false) != "b2" || b.backends["b2"].ejected != 0 {
+		t.Error("a good trial did not bring the backend back")
+	}
+}
+
+// Failures that all backends share are no reason to eject any of them.
+func TestSharedFailureEjectsNobody(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 4)...)
+	b.set.Tier = 1
+	for i := range 100 {
+		id := fmt.Sprint("r", i)
+		b.Arrive(Time(i)*ms, Request{ID: id, Class: unsafe, Budget: 2000 * ms})
+		b.Done(Time(i)*ms, Outcome{Request: id, Result: Error})
+	}
+	for id, m := range b.backends {
+		if m.ejected > 0 {
+			t.Errorf("%s was ejected", id)
+		}
+	}
+	if len(f.sends) != 100 {
+		t.Errorf("%d sends, want 100: with all failing traffic stays", len(f.sends))
+	}
+}
+
+// Guards against retries that burn what is left when all slow together.
+func TestRetryBudget(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 4)...)
+	b.set.Tier = 1
+	for i := range 200 {
+		id := fmt.Sprint("r", i)
+		b.Arrive(0, Request{ID: id, Class: safe, Budget: 2000 * ms})
+		b.Done(0, Outcome{Request: id, Result: Error})
+	}
+	if retries := len(f.wakes); retries > 21 || retries < 15 {
+		t.Errorf("%d retries of 200 failed calls, want about a tenth", retries)
+	}
+}
+
+func TestAllowance(t *testing.T) {
+	c := class{Class: Class{Deadline: 1000 * ms}}
+	c.begin(400 * ms)
+	if c.allowance != float64(400*ms)*allowanceStart {
+		t.Errorf("first allowance %v", time.Duration(c.allowance))
+	}
+	for i := range 20000 { // latencies spread evenly over 0 to 100 ms
+		c.learn(float64(i*37%100) * float64(ms))
+	}
+	if c.allowance < float64(85*ms) || c.allowance > float64(130*ms) {
+		t.Errorf("allowance %v, want near the high percentile of 98 ms", time.Duration(c.allowance))
+	}
+	for range 20 { // time-outs count at the allowance, and raise it
+		c.learn(c.allowance)
+	}
+	if c.allowance < float64(300*ms) {
+		t.Errorf("allowance %v did not follow the time-outs", time.Duration(c.allowance))
+	}
+	for range 100000 {
+		c.learn(0)
+	}
+	if c.allowance != allowanceFloor*float64(c.Deadline) {
+		t.Errorf("allowance %v, want its floor", time.Duration(c.allowance))
+	}
+}
+
+// Guards against a spiral: the tier below refuses what runs late, and an
+// allowance that learns from quick answers alone shrinks with each refusal.
+func TestLateErrorRaisesAllowance(t *testing.T) {
+	for _, c := range []struct {
+		latency time.Duration
+		raised  bool
+	}{{20 * ms, false}, {80 * ms, true}} {
+		b, _ := start(testSettings(), line("b", 1))
+		b.classes[safe].allowance = float64(100 * ms)
+		b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+		b.Done(c.latency, Outcome{Request: "r", Result: Error, Latency: c.latency})
+		if raised := b.classes[safe].allowance > float64(100*ms); raised != c.raised {
+			t.Errorf("error after %v: raised = %v", c.latency, raised)
+		}
+	}
+}
+
+// Guards against an allowance grown past every budget: it must come down again.
+func TestUnfitAllowanceRecovers(t *testing.T) {
+	b, f := start(testSettings(), line("b", 1))
+	b.classes[safe].allowance = float64(1900 * ms)
+	for i := range 2000 {
+		b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 500 * ms})
+		if len(f.sends) > 0 {
+			return
+		}
+	}
+	t.Error("nothing was ever sent again")
+}
+
+// Guards against queues that make every answer late: late answers shrink the
+// limit, and what is worth least is refused first.
+func TestLimitRefusesTheLeastWorthFirst(t *testing.T) {
+	refused := func(class int) int {
+		b, f := start(testSettings(), zoneLines("b", 4)...)
+		b.limit = 8
+		for i := range b.classes {
+			b.classes[i].begin(2000 * ms)
+		}
+		for i := range 12 {
+			b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: class, Budget: 2000 * ms})
+		}
+		for id := range f.answers {
+			if got := f.one(t, id); !got.refused || got.comeBack <= 0 {
+				t.Errorf("turned away with %+v, want a refusal with a come-back time", got)
+			}
+		}
+		return len(f.answers)
+	}
+	high, low := refused(safe), refused(keyed)
+	if high != 4 || low <= high {
+		t.Errorf("refused %d of the most and %d of the least worthwhile, want 4 and more", high, low)
+	}
+}
+
+func TestLimitFollowsStrain(t *testing.T) {
+	b, _ := start(testSettings(), zoneLines("b", 4)...)
+	b.inFlight = 100
+	before := b.limit
+	b.correctLimit(2 * strainTarget)
+	if b.limit >= before {
+		t.Error("late answers did not lower the limit")
+	}
+	before = b.limit
+	b.correctLimit(strainTarget / 2)
+	if b.limit <= before {
+		t.Error("early answers did not raise the limit")
+	}
+	b.inFlight, before = 0, b.limit
+	b.correctLimit(0)
+	if b.limit != before {
+		t.Error("the limit grew while it was not in use")
+	}
+}
+
+func TestAsksForTheList(t *testing.T) {
+	set := testSettings()
+	set.AskForList, set.AskWithin = true, 10000*ms
+	f := newFake()
+	b := New(0, set, f)
+	if w := f.wakes[listToken]; w <= 0 || w > set.AskWithin/10 {
+		t.Errorf("first asks after %v", w)
+	}
+	b.Wake(100*ms, listToken)
+	if f.watches != 1 {
+		t.Fatal("did not ask")
+	}
+	for range 10 {
+		delete(f.wakes, listToken)
+		b.ListFailed(200 * ms)
+		if w := f.wakes[listToken]; w <= 0 || w > set.AskWithin/2 {
+			t.Errorf("asks again after %v", w)
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() string {
+		b, f := start(testSettings(), append(zoneLines("a", 3), zoneLines("b", 3)...)...)
+		for i := range 200 {
+			id := fmt.Sprint("r", i)
+			b.Arrive(Time(i)*ms, Request{ID: id, Class: i % 5, Budget: 2000 * ms})
+			b.Done(Time(i)*ms, Outcome{Request: id, Result: Result(i % 4), Latency: ms, Final: i%4 == 0})
+		}
+		return fmt.Sprint(f.sends, f.answers, f.wakes)
+	}
+	if run() != run() {
+		t.Error("two runs of the same events differ")
+	}
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# All checks of the project: form, vet, tests, the deploy build, a scripted
+# exchange through the built program, and the size of the decision module.
+set -eu
+cd "$(dirname "$0")"
+
+unformatted=$(gofmt -l cmd internal logic)
+if [ -n "$unformatted" ]; then
+	echo "not gofmt-clean: $unformatted" >&2
+	exit 1
+fi
+go vet ./...
+
+# The deploy build is the very command that the operators run.
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
+sh -c "$build"
+got=$(bin/wirehost <internal/host/testdata/exchange.in)
+want=$(cat internal/host/testdata/exchange.out)
+if [ "$got" != "$want" ]; then
+	printf 'scripted exchange: got\n%s\nwant\n%s\n' "$got" "$want" >&2
+	exit 1
+fi
+if echo '{"type":"surprise"}' | bin/wirehost 2>/dev/null; then
+	echo "malformed input was accepted" >&2
+	exit 1
+fi
+
+lines=$(grep -c '[^[:space:]]' logic/logic.go)
+if [ "$lines" -gt 720 ]; then
+	echo "logic/logic.go has $lines non-blank lines, 720 at most" >&2
+	exit 1
+fi
+if expand -t 4 logic/*.go | grep -nE '^.{111,}'; then
+	echo "logic: lines of over 110 columns" >&2
+	exit 1
+fi
+
+go test -race -count=1 ./...
