--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -124,6 +124,7 @@
 		Zone:         s.Zone,
 		Zones:        s.Zones,
 		Tier:         s.Stage,
+		Balancers:    s.Balancers,
 		MaxAttempts:  s.Limits.MaxAttempts,
 		SecondCopies: s.Limits.ParallelTries,
 		AskForList:   s.Discovery == "on_request",
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,7 +70,8 @@
 		ColdFrom   float64 `json:"cold-from"`
 		WarmWithin float64 `json:"warm-within-ms"`
 	} `json:"rules"`
-	Stage int `json:"stage"`
+	Stage     int `json:"stage"`
+	Balancers int `json:"balancers"`
 }
 
 // An Action is one line of a reply.
--- a/logic/api.go
+++ b/logic/api.go
@@ -51,6 +51,7 @@
 	Zones        []string // all zones, in an order that all balancers share
 	Classes      []Class
 	Tier         int // the tier it sends into; 0 faces the clients
+	Balancers    int // how many balancers send into this tier
 	MaxAttempts  int
 	SecondCopies bool          // two attempts of a request may be out together
 	MaxComeBack  time.Duration // longest come-back time clients obey; 0: none
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,9 @@
 	strainTarget = 0.25
 	strainMost   = 1.0 // one very late call counts no more than this
 	limitStep    = 0.3 // speed of the limit's correction
-	limitPerPeer = 2.0 // limit at the start, for each backend
+	// limitPerBackend is the limit at the start for each backend, over all
+	// balancers: a few calls keep a backend busy without a queue.
+	limitPerBackend = 4.0
 	// limitLowest is the share of the limit open to work that is worth next to
 	// nothing for its time; the most worthwhile class has all of it.
 	limitLowest = 0.75
@@ -657,7 +659,7 @@
 	}
 	b.regroup()
 	if b.limit == 0 {
-		b.limit = limitPerPeer * float64(b.upCount())
+		b.limit = limitPerBackend * float64(b.upCount()) / float64(max(b.set.Balancers, 1))
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -648,3 +648,17 @@
 		t.Error("two runs of the same events differ")
 	}
 }
+
+// Guards against a flood at the start: the first limit is shared by all
+// balancers, however many there are.
+func TestFirstLimitIsShared(t *testing.T) {
+	total := func(balancers int) float64 {
+		set := testSettings()
+		set.Balancers = balancers
+		b, _ := start(set, zoneLines("b", 40)...)
+		return b.limit * float64(balancers)
+	}
+	if few, many := total(2), total(8); few != many || few == 0 {
+		t.Errorf("two balancers open with %v calls together, eight with %v", few, many)
+	}
+}
