--- a/logic/logic.go
+++ b/logic/logic.go
@@ -75,6 +75,11 @@
 	comeBackShare = 0.25
 	// coldCaution divides a cold backend's part: it may be a slow one, too.
 	coldCaution = 1.5
+	// fullPause, in mean latencies of the class, is how long a backend that was
+	// full is left alone; it doubles up to fullGrowth times while it stays full.
+	fullPause  = 0.5
+	fullGrowth = 4
+
 	// askShare of the ask-within time is the first wait to ask again.
 	askShare = 0.05
 )
@@ -121,7 +126,8 @@
 	ejected   int     // ejections in a row; 0: in use
 	trialAt   Time
 	trialOut  bool
-	notBefore Time // cold: earliest next send
+	notBefore Time // cold, or full lately: earliest next send
+	fulls     int  // in a row
 	listed    bool
 }
 
@@ -558,7 +564,7 @@
 	if o.Result == OK || o.Result == TimedOut {
 		b.correctLimit(float64(o.Latency) / float64(max(c.Aim, 1)))
 	}
-	b.judge(now, a, o.Result)
+	b.judge(now, a, c, o.Result)
 }
 
 // begin sets the first allowance. The budget is the better guide: further down
@@ -593,23 +599,25 @@
 
 // judge keeps each backend's failure share and ejects outliers, a departure:
 // one that fails fast has few calls in flight and would draw the most.
-func (b *Balancer) judge(now Time, a *attempt, r Result) {
-	failed := 0.0
+func (b *Balancer) judge(now Time, a *attempt, c *class, r Result) {
+	m, failed := a.to, 0.0
+	if a.trial {
+		m.trialOut = false
+	}
 	switch r {
 	case OK:
+		m.fulls = 0
 	case Error, TimedOut, NoConnect, Broken:
 		failed = 1
+	case Full:
+		b.pause(now, m, c)
+		return
 	default:
-		if a.trial {
-			a.to.trialOut = false
-		}
 		return
 	}
-	m := a.to
 	m.failures += failureWeight * (failed - m.failures)
 	switch {
 	case a.trial:
-		m.trialOut = false
 		if failed == 0 {
 			m.ejected, m.failures = 0, 0
 		} else if m.ejected > 0 {
@@ -620,6 +628,14 @@
 	}
 }
 
+// pause leaves a full backend alone for a while, a departure: it turns calls
+// away at once, and so has few in flight and would draw the most.
+func (b *Balancer) pause(now Time, m *backend, c *class) {
+	wait := b.jitter(time.Duration(fullPause*c.cost) << min(m.fulls, fullGrowth))
+	m.fulls++
+	m.notBefore = max(m.notBefore, now+wait)
+}
+
 func (b *Balancer) eject(now Time, m *backend) {
 	wait := b.patience << min(m.ejected, ejectGrowth)
 	m.ejected++
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -662,3 +662,25 @@
 		t.Errorf("two balancers open with %v calls together, eight with %v", few, many)
 	}
 }
+
+// Guards against backends that are full or drain unheard: turning calls away at
+// once, they look the idlest of all.
+func TestFullBackendIsLeftAlone(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 3)...)
+	b.set.Tier = 1
+	full := 0
+	for i := range 300 {
+		id := fmt.Sprint("r", i)
+		now := Time(i) * ms
+		b.Arrive(now, Request{ID: id, Class: safe, Budget: 2000 * ms})
+		if f.last(t).backend == "b1" {
+			full++
+			b.Done(now, Outcome{Request: id, Result: Full})
+			continue
+		}
+		b.Done(now+40*ms, Outcome{Request: id, Result: OK, Latency: 40 * ms, Final: true})
+	}
+	if full == 0 || full > 10 {
+		t.Errorf("%d calls to the full backend, want a few of 300", full)
+	}
+}
