--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,6 +24,10 @@
 	allowanceStep  = 0.1  // how fast it follows against how much it jitters
 	allowanceFloor = 0.02 // share of the class's deadline; below it lies noise
 	allowanceStart = 0.25 // share of the first budget seen, before any sample
+	// allowanceCeiling is the most, as a share of the usual budget: an allowance
+	// that fits no budget sends nothing. budgetWeight is the weight of one budget.
+	allowanceCeiling = 0.7
+	budgetWeight     = 0.05
 	// lateError is the share of the allowance after which an error counts as a
 	// time-out: the tier below most likely ran out of the time we passed on.
 	lateError = 0.5
@@ -111,6 +115,7 @@
 	Class
 	allowance float64
 	cost      float64 // mean latency of an answer
+	budget    float64 // mean budget
 }
 
 type group struct {
@@ -178,7 +183,7 @@
 	q := &request{Request: r, deadline: now + r.Budget}
 	q.reserve = time.Duration(reserveShare * float64(r.Budget))
 	b.requests[r.ID] = q
-	b.classes[r.Class].begin(r.Budget)
+	b.classes[r.Class].meet(r.Budget)
 	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
 	if !b.admit(q) {
 		b.giveUp(q)
@@ -567,13 +572,15 @@
 	b.judge(now, a, c, o.Result)
 }
 
-// begin sets the first allowance. The budget is the better guide: further down
+// meet takes a request's budget. The first one sets the allowance: further down
 // it is a small part of the class's deadline.
-func (c *class) begin(budget time.Duration) {
-	if c.allowance == 0 {
-		c.allowance = max(allowanceStart*float64(budget), allowanceFloor*float64(c.Deadline))
+func (c *class) meet(budget time.Duration) {
+	if c.budget == 0 {
+		c.budget = float64(budget)
+		c.allowance = max(allowanceStart*c.budget, allowanceFloor*float64(c.Deadline))
 		c.cost = c.allowance
 	}
+	c.budget += budgetWeight * (float64(budget) - c.budget)
 }
 
 // learn moves the allowance towards its percentile: one sample above weighs as
@@ -584,8 +591,7 @@
 	} else {
 		c.allowance *= math.Exp(-allowanceStep * (1 - allowanceRank))
 	}
-	deadline := float64(c.Deadline)
-	c.allowance = min(max(c.allowance, allowanceFloor*deadline), deadline)
+	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
 // correctLimit moves the limit until the mean strain is on target. It grows only
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -87,6 +87,12 @@
 
 const safe, keyed, keyedZone, keyedCell, unsafe = 0, 1, 2, 3, 4
 
+// allow sets a class's allowance, as if learned from requests with long budgets.
+func (b *Balancer) allow(class int, d time.Duration) {
+	b.classes[class].meet(2000 * ms)
+	b.classes[class].allowance = float64(d)
+}
+
 // line is a backend in a zone; its cell is that of its number.
 func line(zone string, n int) Backend {
 	return Backend{ID: fmt.Sprintf("%s%d", zone, n), Zone: zone, Cell: n, Size: 1}
@@ -129,7 +135,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, f := start(testSettings(), line("b", 1))
-			b.classes[safe].allowance = float64(100 * ms)
+			b.allow(safe, 100 * ms)
 			b.Arrive(0, Request{ID: "r", Class: safe, Budget: c.budget})
 			if len(f.sends) != c.sends {
 				t.Fatalf("%d sends, want %d", len(f.sends), c.sends)
@@ -168,7 +174,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			b, f := start(testSettings(), line("b", 1), line("b", 2))
 			b.retryTokens = 5
-			b.classes[c.class].allowance = float64(100 * ms)
+			b.allow(c.class, 100 * ms)
 			b.Arrive(0, Request{ID: "r", Class: c.class, Budget: 2000 * ms})
 			b.Done(c.after, Outcome{Request: "r", Result: c.result, Latency: c.after})
 			if !c.retried {
@@ -201,7 +207,7 @@
 func TestFitAfterBackoff(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
 	b.retryTokens = 5
-	b.classes[safe].allowance = float64(100 * ms)
+	b.allow(safe, 100 * ms)
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 1000 * ms})
 	b.Done(100*ms, Outcome{Request: "r", Result: Error, Latency: 100 * ms})
 	token, _ := f.wait(t)
@@ -214,7 +220,7 @@
 func TestBackoffGrows(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
 	b.set.MaxAttempts = 10
-	b.classes[safe].allowance = float64(100 * ms)
+	b.allow(safe, 100 * ms)
 	now := Time(0)
 	b.Arrive(now, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	var waits []time.Duration
@@ -235,7 +241,7 @@
 
 func TestAttemptsAreACeiling(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
-	b.classes[safe].allowance = float64(10 * ms)
+	b.allow(safe, 10 * ms)
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	for i := range 3 {
 		b.Done(Time(i)*20*ms, Outcome{Request: "r", Attempt: i, Result: Full})
@@ -268,7 +274,7 @@
 			id := fmt.Sprint("r", i)
 			now := Time(i) * 1000 * ms
 			b.retryTokens = 5
-			b.classes[c.class].allowance = float64(100 * ms)
+			b.allow(c.class, 100 * ms)
 			b.Arrive(now, Request{ID: id, Class: c.class, Budget: 2000 * ms})
 			first := byID[f.last(t).backend]
 			b.Done(now+50*ms, Outcome{Request: id, Result: Broken, Latency: 50 * ms})
@@ -292,7 +298,7 @@
 
 func TestNothingAfterTheEnd(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
-	b.classes[safe].allowance = float64(100 * ms)
+	b.allow(safe, 100 * ms)
 	b.retryTokens = 5
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	b.Done(10*ms, Outcome{Request: "r", Result: Error})
@@ -326,7 +332,7 @@
 
 func TestDrain(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1), line("b", 2))
-	b.classes[safe].allowance = float64(100 * ms)
+	b.allow(safe, 100 * ms)
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	b.Done(10*ms, Outcome{Request: "r", Result: Full})
 	token, wait := f.wait(t)
@@ -514,7 +520,7 @@
 
 func TestAllowance(t *testing.T) {
 	c := class{Class: Class{Deadline: 1000 * ms}}
-	c.begin(400 * ms)
+	c.meet(400 * ms)
 	if c.allowance != float64(400*ms)*allowanceStart {
 		t.Errorf("first allowance %v", time.Duration(c.allowance))
 	}
@@ -524,12 +530,19 @@
 	if c.allowance < float64(85*ms) || c.allowance > float64(130*ms) {
 		t.Errorf("allowance %v, want near the high percentile of 98 ms", time.Duration(c.allowance))
 	}
+	c.budget = float64(1000 * ms)
 	for range 20 { // time-outs count at the allowance, and raise it
 		c.learn(c.allowance)
 	}
 	if c.allowance < float64(300*ms) {
 		t.Errorf("allowance %v did not follow the time-outs", time.Duration(c.allowance))
 	}
+	for range 100 { // but not past what usual budgets can hold
+		c.learn(c.allowance)
+	}
+	if c.allowance != allowanceCeiling*c.budget {
+		t.Errorf("allowance %v, want its ceiling", time.Duration(c.allowance))
+	}
 	for range 100000 {
 		c.learn(0)
 	}
@@ -546,7 +559,7 @@
 		raised  bool
 	}{{20 * ms, false}, {80 * ms, true}} {
 		b, _ := start(testSettings(), line("b", 1))
-		b.classes[safe].allowance = float64(100 * ms)
+		b.allow(safe, 100 * ms)
 		b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 		b.Done(c.latency, Outcome{Request: "r", Result: Error, Latency: c.latency})
 		if raised := b.classes[safe].allowance > float64(100*ms); raised != c.raised {
@@ -558,7 +571,7 @@
 // Guards against an allowance grown past every budget: it must come down again.
 func TestUnfitAllowanceRecovers(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
-	b.classes[safe].allowance = float64(1900 * ms)
+	b.allow(safe, 1900 * ms)
 	for i := range 2000 {
 		b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 500 * ms})
 		if len(f.sends) > 0 {
@@ -575,7 +588,7 @@
 		b, f := start(testSettings(), zoneLines("b", 4)...)
 		b.limit = 8
 		for i := range b.classes {
-			b.classes[i].begin(2000 * ms)
+			b.classes[i].meet(2000 * ms)
 		}
 		for i := range 12 {
 			b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: class, Budget: 2000 * ms})
