--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -135,7 +135,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, f := start(testSettings(), line("b", 1))
-			b.allow(safe, 100 * ms)
+			b.allow(safe, 100*ms)
 			b.Arrive(0, Request{ID: "r", Class: safe, Budget: c.budget})
 			if len(f.sends) != c.sends {
 				t.Fatalf("%d sends, want %d", len(f.sends), c.sends)
@@ -174,7 +174,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			b, f := start(testSettings(), line("b", 1), line("b", 2))
 			b.retryTokens = 5
-			b.allow(c.class, 100 * ms)
+			b.allow(c.class, 100*ms)
 			b.Arrive(0, Request{ID: "r", Class: c.class, Budget: 2000 * ms})
 			b.Done(c.after, Outcome{Request: "r", Result: c.result, Latency: c.after})
 			if !c.retried {
@@ -207,7 +207,7 @@
 func TestFitAfterBackoff(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
 	b.retryTokens = 5
-	b.allow(safe, 100 * ms)
+	b.allow(safe, 100*ms)
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 1000 * ms})
 	b.Done(100*ms, Outcome{Request: "r", Result: Error, Latency: 100 * ms})
 	token, _ := f.wait(t)
@@ -220,7 +220,7 @@
 func TestBackoffGrows(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
 	b.set.MaxAttempts = 10
-	b.allow(safe, 100 * ms)
+	b.allow(safe, 100*ms)
 	now := Time(0)
 	b.Arrive(now, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	var waits []time.Duration
@@ -241,7 +241,7 @@
 
 func TestAttemptsAreACeiling(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
-	b.allow(safe, 10 * ms)
+	b.allow(safe, 10*ms)
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	for i := range 3 {
 		b.Done(Time(i)*20*ms, Outcome{Request: "r", Attempt: i, Result: Full})
@@ -274,7 +274,7 @@
 			id := fmt.Sprint("r", i)
 			now := Time(i) * 1000 * ms
 			b.retryTokens = 5
-			b.allow(c.class, 100 * ms)
+			b.allow(c.class, 100*ms)
 			b.Arrive(now, Request{ID: id, Class: c.class, Budget: 2000 * ms})
 			first := byID[f.last(t).backend]
 			b.Done(now+50*ms, Outcome{Request: id, Result: Broken, Latency: 50 * ms})
@@ -298,7 +298,7 @@
 
 func TestNothingAfterTheEnd(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
-	b.allow(safe, 100 * ms)
+	b.allow(safe, 100*ms)
 	b.retryTokens = 5
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	b.Done(10*ms, Outcome{Request: "r", Result: Error})
@@ -332,7 +332,7 @@
 
 func TestDrain(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1), line("b", 2))
-	b.allow(safe, 100 * ms)
+	b.allow(safe, 100*ms)
 	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 	b.Done(10*ms, Outcome{Request: "r", Result: Full})
 	token, wait := f.wait(t)
@@ -559,7 +559,7 @@
 		raised  bool
 	}{{20 * ms, false}, {80 * ms, true}} {
 		b, _ := start(testSettings(), line("b", 1))
-		b.allow(safe, 100 * ms)
+		b.allow(safe, 100*ms)
 		b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
 		b.Done(c.latency, Outcome{Request: "r", Result: Error, Latency: c.latency})
 		if raised := b.classes[safe].allowance > float64(100*ms); raised != c.raised {
@@ -571,7 +571,7 @@
 // Guards against an allowance grown past every budget: it must come down again.
 func TestUnfitAllowanceRecovers(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
-	b.allow(safe, 1900 * ms)
+	b.allow(safe, 1900*ms)
 	for i := range 2000 {
 		b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 500 * ms})
 		if len(f.sends) > 0 {
