--- a/logic/logic.go
+++ b/logic/logic.go
@@ -131,7 +131,8 @@
 	ejected   int     // ejections in a row; 0: in use
 	trialAt   Time
 	trialOut  bool
-	notBefore Time // cold, or full lately: earliest next send
+	notBefore Time // cold: earliest next send
+	paused    Time // full lately: until then
 	fulls     int  // in a row
 	listed    bool
 }
@@ -240,11 +241,12 @@
 	b.send(now, q, to, b.timeout(now, q, allowance))
 }
 
-// timeout is the full allowance; where no attempt may follow one that timed
+// timeout is the full allowance; where no attempt could follow one that timed
 // out, giving up early gains nothing and the attempt has all that is left.
 func (b *Balancer) timeout(now Time, q *request, allowance time.Duration) time.Duration {
-	if b.classes[q.Class].Repeat == Unsafe {
-		return q.available(now)
+	left := q.available(now)
+	if b.classes[q.Class].Repeat == Unsafe || len(q.attempts)+1 >= b.set.MaxAttempts || 2*allowance > left {
+		return left
 	}
 	return allowance
 }
@@ -299,7 +301,7 @@
 
 // usable tells whether the rules and the backend's state let q go to m now.
 func (b *Balancer) usable(now Time, q *request, m *backend) bool {
-	return m.ejected == 0 && b.allowed(now, q, m)
+	return m.ejected == 0 && now >= m.paused && b.allowed(now, q, m)
 }
 
 // allowed holds the rules alone: drains, cold backends, repeats.
@@ -639,7 +641,7 @@
 func (b *Balancer) pause(now Time, m *backend, c *class) {
 	wait := b.jitter(time.Duration(fullPause*c.cost) << min(m.fulls, fullGrowth))
 	m.fulls++
-	m.notBefore = max(m.notBefore, now+wait)
+	m.paused = now + wait
 }
 
 func (b *Balancer) eject(now Time, m *backend) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -124,14 +124,16 @@
 
 func TestFitBeforeFirstAttempt(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		budget time.Duration
-		sends  int
+		name    string
+		budget  time.Duration
+		sends   int
+		timeout time.Duration
 	}{
-		{"whole allowance fits", 103 * ms, 1},
-		{"fits but for the reserve", 101 * ms, 0},
-		{"does not fit", 50 * ms, 0},
-		{"no time at all", 0, 0},
+		{"fits more than once", 1000 * ms, 1, 100 * ms},
+		{"fits once: all that is left", 150 * ms, 1, 147 * ms},
+		{"fits but for the reserve", 101 * ms, 0, 0},
+		{"does not fit", 50 * ms, 0, 0},
+		{"no time at all", 0, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, f := start(testSettings(), line("b", 1))
@@ -140,8 +142,8 @@
 			if len(f.sends) != c.sends {
 				t.Fatalf("%d sends, want %d", len(f.sends), c.sends)
 			}
-			if c.sends == 1 && f.sends[0].timeout != 100*ms {
-				t.Errorf("time-out %v, want the full allowance", f.sends[0].timeout)
+			if c.sends == 1 && f.sends[0].timeout != c.timeout {
+				t.Errorf("time-out %v, want %v", f.sends[0].timeout, c.timeout)
 			}
 			if c.sends == 0 && !f.one(t, "r").refused {
 				t.Error("nothing was sent, yet the answer is not a refusal")
@@ -217,6 +219,28 @@
 	}
 }
 
+// An attempt that none may follow gains nothing from an early time-out.
+func TestLastAttemptHasAllTheTime(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		class    int
+		attempts int
+		want     time.Duration
+	}{
+		{"more may follow", safe, 3, 100 * ms},
+		{"must not run twice", unsafe, 3, 980 * ms},
+		{"the ceiling is reached", safe, 1, 980 * ms},
+	} {
+		b, f := start(testSettings(), line("b", 1))
+		b.set.MaxAttempts = c.attempts
+		b.allow(c.class, 100*ms)
+		b.Arrive(0, Request{ID: "r", Class: c.class, Budget: 1000 * ms})
+		if got := f.last(t).timeout; got != c.want {
+			t.Errorf("%s: time-out %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestBackoffGrows(t *testing.T) {
 	b, f := start(testSettings(), line("b", 1))
 	b.set.MaxAttempts = 10
