--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,6 +40,10 @@
 	// busyFactor is "well above the mean" within a group: lower evens out load
 	// of unlike backends, higher keeps the rotation even.
 	busyFactor = 1.25
+	// slowWeight is how much more calls in flight count on a backend slower than
+	// its peers: higher spares choked ones sooner, lower leaves unlike ones turns.
+	slowWeight = 2.0
+
 	// spillFactor and spillMargin are "well over the next group's": lower uses
 	// idle zones sooner, higher pays for fewer crossings.
 	spillFactor = 1.5
@@ -68,6 +72,7 @@
 	strainTarget = 0.25
 	strainMost   = 1.0 // one very late call counts no more than this
 	limitStep    = 0.3 // speed of the limit's correction
+	limitInUse   = 0.5 // share of the limit in flight from which it is corrected
 	// limitPerBackend is the limit at the start for each backend, over all
 	// balancers: a few calls keep a backend busy without a queue.
 	limitPerBackend = 4.0
@@ -128,6 +133,8 @@
 	Backend
 	inFlight  int
 	failures  float64 // share of recent outcomes
+	slowness  float64 // recent latencies, as multiples of their classes' means
+	heard     Time    // when slowness was last measured
 	ejected   int     // ejections in a row; 0: in use
 	trialAt   Time
 	trialOut  bool
@@ -311,20 +318,22 @@
 
 // rotate walks the group from the last turn, skipping the well above mean.
 func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
-	most := busyFactor * g.load()
+	most := busyFactor * (g.load() + 1/g.meanSize())
 	var idlest *backend
+	least := 0.0
 	for i := range g.members {
 		at := (g.next + i) % len(g.members)
 		m := g.members[at]
 		if !b.usable(now, q, m) {
 			continue
 		}
-		if m.load() <= most {
+		load := b.loadWith(now, m)
+		if load <= most {
 			g.next = at + 1
 			return m
 		}
-		if idlest == nil || m.load() < idlest.load() {
-			idlest = m
+		if idlest == nil || load < least {
+			idlest, least = m, load
 		}
 	}
 	return idlest
@@ -392,8 +401,25 @@
 	return calls / max(size, 1e-9)
 }
 
+func (g *group) meanSize() float64 {
+	size := 0.0
+	for _, m := range g.members {
+		size += m.Size
+	}
+	return size / float64(len(g.members))
+}
+
 func (m *backend) load() float64 { return float64(m.inFlight) / m.Size }
 
+// loadWith is m's load with one more call. A slow backend's calls count for
+// more, a departure: as many calls in flight as its peers have would make most
+// of them late, and one that has choked must come near to rest to recover. What
+// it was counts less with time, so that it is tried again.
+func (b *Balancer) loadWith(now Time, m *backend) float64 {
+	excess := max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/float64(b.patience))
+	return float64(m.inFlight+1) / m.Size * (1 + slowWeight*excess)
+}
+
 // warmth is the share of its capacity that a backend surely has.
 func (m *backend) warmth(now Time, set *Settings) float64 {
 	if m.Started == 0 || set.WarmWithin == 0 || now-m.Started >= set.WarmWithin {
@@ -569,6 +595,8 @@
 		}
 	}
 	if o.Result == OK || o.Result == TimedOut {
+		a.to.slowness += failureWeight * (float64(o.Latency)/c.cost - a.to.slowness)
+		a.to.heard = now
 		b.correctLimit(float64(o.Latency) / float64(max(c.Aim, 1)))
 	}
 	b.judge(now, a, c, o.Result)
@@ -596,11 +624,12 @@
 	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
-// correctLimit moves the limit until the mean strain is on target. It grows only
-// while it is in use, so that a quiet hour does not open it to a flood.
+// correctLimit moves the limit until the mean strain is on target, but only while
+// it is in use: else a quiet hour's few late answers would close it, or its many
+// early ones open it to a flood.
 func (b *Balancer) correctLimit(strain float64) {
-	step := limitStep * (strainTarget - min(strain, strainMost))
-	if step < 0 || float64(b.inFlight+1) > b.limit/2 {
+	if float64(b.inFlight+1) > limitInUse*b.limit {
+		step := limitStep * (strainTarget - min(strain, strainMost))
 		b.limit = max(float64(len(b.groups)), b.limit+step)
 	}
 }
@@ -696,7 +725,7 @@
 		m = &backend{}
 		b.backends[l.ID] = m
 	} else if l.Started != m.Started { // restarted: nothing learned holds
-		m.failures, m.ejected = 0, 0
+		m.failures, m.ejected, m.slowness = 0, 0, 0
 	}
 	m.Backend = l
 	m.listed = l.State != Removed
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -721,3 +721,36 @@
 		t.Errorf("%d calls to the full backend, want a few of 300", full)
 	}
 }
+
+// Guards against slow and choked backends: an equal part of the calls in flight
+// keeps them choked and makes most of those calls late. They are tried again.
+func TestSlowBackendGetsFewerCalls(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 4)...)
+	b.set.Tier = 1
+	type call struct {
+		id string
+		to string
+		at Time
+	}
+	counts := map[string]int{}
+	var out []call
+	for i := range 2000 {
+		now := Time(i) * 5 * ms
+		for len(out) > 0 && out[0].at <= now {
+			c := out[0]
+			latency := 40 * ms
+			if c.to == "b1" {
+				latency = 160 * ms
+			}
+			b.Done(now, Outcome{Request: c.id, Result: OK, Latency: latency, Final: true})
+			out = out[1:]
+		}
+		id := fmt.Sprint("r", i)
+		b.Arrive(now, Request{ID: id, Class: safe, Budget: 2000 * ms})
+		counts[f.last(t).backend]++
+		out = append(out, call{id, f.last(t).backend, now + 40*ms})
+	}
+	if counts["b1"] == 0 || 3*counts["b1"] > counts["b0"] {
+		t.Errorf("calls %v, want few but some at b1, four times slower", counts)
+	}
+}
