--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,15 +66,10 @@
 	ejectPatience = 0.5
 	ejectGrowth   = 3
 
-	// Strain is latency as a share of the class's aim. strainRise times its value
-	// at rest is where the limit on calls in flight settles: lower turns work away
-	// that would have been in time, higher fills queues until answers come late.
-	// strainWeight is one answer's weight in the mean, restDrift how fast an old
-	// low is forgotten.
-	strainRise   = 1.5
-	strainStart  = 0.16
-	strainWeight = 0.01
-	restDrift    = 1e-4
+	// strainTarget is the mean latency, as a share of the aim, at which the
+	// limit on calls in flight settles. Lower turns work away that would have
+	// been in time, higher fills queues until answers come late.
+	strainTarget = 0.25
 	strainMost   = 1.0 // one very late call counts no more than this
 	limitStep    = 0.3 // speed of the limit's correction
 	limitInUse   = 0.5 // share of the limit in flight from which it is corrected
@@ -116,8 +111,6 @@
 
 	inFlight    int
 	limit       float64
-	strain      float64 // mean latency as a share of the aim
-	rest        float64 // its value at rest
 	retryTokens float64
 	lastSend    Time
 	sendGap     float64 // mean time between sends
@@ -635,14 +628,9 @@
 // it is in use: else a quiet hour's few late answers would close it, or its many
 // early ones open it to a flood.
 func (b *Balancer) correctLimit(strain float64) {
-	strain = min(strain, strainMost)
-	if b.strain == 0 {
-		b.strain, b.rest = strainStart, strainStart
-	}
-	b.strain += strainWeight * (strain - b.strain)
-	b.rest = min(b.rest*(1+restDrift), b.strain)
 	if float64(b.inFlight+1) > limitInUse*b.limit {
-		b.limit = max(float64(len(b.groups)), b.limit+limitStep*(strainRise*b.rest-strain))
+		step := limitStep * (strainTarget - min(strain, strainMost))
+		b.limit = max(float64(len(b.groups)), b.limit+step)
 	}
 }
 
