--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,6 +6,7 @@
 package logic
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -75,7 +76,7 @@
 	limitInUse   = 0.5 // share of the limit in flight from which it is corrected
 	// limitPerBackend is the limit at the start for each backend, over all
 	// balancers: a few calls keep a backend busy without a queue.
-	limitPerBackend = 4.0
+	limitPerBackend = 5.0
 	// limitLowest is the share of the limit open to work that is worth next to
 	// nothing for its time; the most worthwhile class has all of it.
 	limitLowest = 0.75
@@ -102,7 +103,8 @@
 	rng      *rand.Rand
 	classes  []class
 	backends map[string]*backend
-	groups   []*group // own zone first
+	listed   []*backend // in the order of the groups
+	groups   []*group   // own zone first
 	requests map[string]*request
 	wakes    map[uint64]*request
 	token    uint64
@@ -141,13 +143,12 @@
 	notBefore Time // cold: earliest next send
 	paused    Time // full lately: until then
 	fulls     int  // in a row
-	listed    bool
+	gone      bool // no longer listed
 }
 
 type request struct {
 	Request
 	deadline Time
-	reserve  time.Duration
 	attempts []attempt
 	out      int
 	ended    bool
@@ -189,7 +190,6 @@
 // Arrive takes a request; it will get exactly one final answer.
 func (b *Balancer) Arrive(now Time, r Request) {
 	q := &request{Request: r, deadline: now + r.Budget}
-	q.reserve = time.Duration(reserveShare * float64(r.Budget))
 	b.requests[r.ID] = q
 	b.classes[r.Class].meet(r.Budget)
 	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
@@ -229,14 +229,14 @@
 
 // available is the time really left for waits and attempts.
 func (q *request) available(now Time) time.Duration {
-	return max(0, q.deadline-now-q.reserve)
+	reserve := time.Duration(reserveShare * float64(q.Budget))
+	return max(0, q.deadline-now-reserve)
 }
 
 // try sends the next attempt if its full allowance fits, and else answers.
 func (b *Balancer) try(now Time, q *request) {
 	allowance := time.Duration(b.classes[q.Class].allowance)
 	if len(q.attempts) >= b.set.MaxAttempts || allowance > q.available(now) {
-		b.unfit(q)
 		b.giveUp(q)
 		return
 	}
@@ -258,14 +258,6 @@
 	return allowance
 }
 
-// unfit guards against an allowance that has grown past every budget: nothing
-// would be sent again, and nothing learned. Each turned-away first try lowers it.
-func (b *Balancer) unfit(q *request) {
-	if len(q.attempts) == 0 {
-		b.classes[q.Class].learn(0)
-	}
-}
-
 func (b *Balancer) send(now Time, q *request, to *backend, timeout time.Duration) {
 	const gapWeight = 0.05
 	b.sendGap += gapWeight * (float64(now-b.lastSend) - b.sendGap)
@@ -313,7 +305,7 @@
 
 // allowed holds the rules alone: drains, cold backends, repeats.
 func (b *Balancer) allowed(now Time, q *request, m *backend) bool {
-	return m.listed && m.State == Up && now >= m.notBefore && b.mayRepeat(now, q, m)
+	return m.State == Up && !m.gone && now >= m.notBefore && b.mayRepeat(now, q, m)
 }
 
 // rotate walks the group from the last turn, skipping the well above mean.
@@ -348,11 +340,9 @@
 	if 2*b.classes[q.Class].allowance > float64(q.available(now)) {
 		return nil
 	}
-	for _, g := range b.groups {
-		for _, m := range g.members {
-			if m.ejected > 0 && !m.trialOut && now >= m.trialAt && b.allowed(now, q, m) {
-				return m
-			}
+	for _, m := range b.listed {
+		if m.ejected > 0 && !m.trialOut && now >= max(m.trialAt, m.paused) && b.allowed(now, q, m) {
+			return m
 		}
 	}
 	return nil
@@ -361,15 +351,11 @@
 // leastFailing serves when every group fails.
 func (b *Balancer) leastFailing(now Time, q *request) *backend {
 	var best *backend
-	for _, g := range b.groups {
-		for _, m := range g.members {
-			if !b.allowed(now, q, m) {
-				continue
-			}
-			if best == nil || m.failures < best.failures ||
-				m.failures == best.failures && m.load() < best.load() {
-				best = m
-			}
+	for _, m := range b.listed {
+		better := best == nil || m.failures < best.failures ||
+			m.failures == best.failures && m.load() < best.load()
+		if better && b.allowed(now, q, m) {
+			best = m
 		}
 	}
 	return best
@@ -607,10 +593,11 @@
 func (c *class) meet(budget time.Duration) {
 	if c.budget == 0 {
 		c.budget = float64(budget)
-		c.allowance = max(allowanceStart*c.budget, allowanceFloor*float64(c.Deadline))
+		c.allowance = allowanceStart * c.budget
 		c.cost = c.allowance
 	}
 	c.budget += budgetWeight * (float64(budget) - c.budget)
+	c.bound()
 }
 
 // learn moves the allowance towards its percentile: one sample above weighs as
@@ -621,6 +608,12 @@
 	} else {
 		c.allowance *= math.Exp(-allowanceStep * (1 - allowanceRank))
 	}
+	c.bound()
+}
+
+// bound keeps the allowance where attempts make sense. The ceiling is a
+// departure: an allowance that has grown past every budget would send nothing.
+func (c *class) bound() {
 	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
@@ -680,18 +673,14 @@
 }
 
 func (b *Balancer) outlier(m *backend) bool {
-	sum, peers, ejected := 0.0, 0, 0
-	for _, g := range b.groups {
-		for _, p := range g.members {
-			if p.ejected > 0 {
-				ejected++
-			} else if p != m {
-				sum += p.failures
-				peers++
-			}
+	sum, peers := 0.0, 0
+	for _, p := range b.listed {
+		if p.ejected == 0 && p != m {
+			sum += p.failures
+			peers++
 		}
 	}
-	if float64(ejected+1) > ejectMost*float64(peers+ejected+1) {
+	if float64(peers) < (1-ejectMost)*float64(len(b.listed)) {
 		return false
 	}
 	return m.failures > ejectShare && m.failures > ejectFactor*sum/float64(max(peers, 1))
@@ -700,12 +689,8 @@
 // List takes news of the backends: the full list, or changed lines only.
 func (b *Balancer) List(now Time, full bool, lines []Backend) {
 	b.askWait = time.Duration(askShare * float64(b.set.AskWithin))
-	if full {
-		for _, g := range b.groups {
-			for _, m := range g.members {
-				m.listed = false
-			}
-		}
+	for _, m := range b.listed {
+		m.gone = m.gone || full
 	}
 	for _, l := range lines {
 		b.update(l)
@@ -724,50 +709,54 @@
 	if m == nil {
 		m = &backend{}
 		b.backends[l.ID] = m
+		b.listed = append(b.listed, m)
 	} else if l.Started != m.Started { // restarted: nothing learned holds
 		m.failures, m.ejected, m.slowness = 0, 0, 0
 	}
 	m.Backend = l
-	m.listed = l.State != Removed
+	m.gone = l.State == Removed
 }
 
-// regroup orders the groups: own zone, then the others around the ring of zones,
-// so that balancers of different zones spill into different ones.
+// regroup forgets the backends that are gone (attempts still out hold their own
+// pointers) and orders the rest by group: own zone first, then around the ring
+// of zones, so that balancers of different zones spill into different ones.
 func (b *Balancer) regroup() {
-	own := max(0, slices.Index(b.set.Zones, b.set.Zone))
-	rank := func(zone string) int {
-		i := slices.Index(b.set.Zones, zone)
-		if i < 0 {
-			return len(b.set.Zones)
+	b.listed = slices.DeleteFunc(b.listed, func(m *backend) bool {
+		if m.gone {
+			delete(b.backends, m.ID)
 		}
-		return (i - own + len(b.set.Zones)) % len(b.set.Zones)
-	}
-	ids := make([]string, 0, len(b.backends))
-	for id, m := range b.backends {
-		if m.listed {
-			ids = append(ids, id)
-		} else {
-			delete(b.backends, id) // attempts still out hold their own pointer
+		return m.gone
+	})
+	zones := len(b.set.Zones)
+	own := slices.Index(b.set.Zones, b.set.Zone)
+	rank := func(m *backend) int {
+		if i := slices.Index(b.set.Zones, m.Zone); i >= 0 {
+			return (i - own + zones) % zones
 		}
-	}
-	slices.Sort(ids)
-	byZone := map[string]*group{}
-	for _, g := range b.groups {
-		g.members = g.members[:0]
-		byZone[g.zone] = g
-	}
-	for _, id := range ids {
-		m := b.backends[id]
-		g := byZone[m.Zone]
-		if g == nil {
-			g = &group{zone: m.Zone, next: b.rng.IntN(1 << 16)}
-			byZone[m.Zone] = g
-			b.groups = append(b.groups, g)
+		return zones
+	}
+	slices.SortFunc(b.listed, func(x, y *backend) int {
+		return cmp.Or(rank(x)-rank(y), cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.ID, y.ID))
+	})
+	old := b.groups
+	b.groups = nil
+	for i, m := range b.listed {
+		if i == 0 || m.Zone != b.listed[i-1].Zone {
+			b.groups = append(b.groups, newGroup(m.Zone, old, b.rng))
 		}
+		g := b.groups[len(b.groups)-1]
 		g.members = append(g.members, m)
 	}
-	b.groups = slices.DeleteFunc(b.groups, func(g *group) bool { return len(g.members) == 0 })
-	slices.SortStableFunc(b.groups, func(x, y *group) int { return rank(x.zone) - rank(y.zone) })
+}
+
+// newGroup goes on with the old rotation of its zone, or starts one at random.
+func newGroup(zone string, old []*group, rng *rand.Rand) *group {
+	for _, g := range old {
+		if g.zone == zone {
+			return &group{zone: zone, next: g.next}
+		}
+	}
+	return &group{zone: zone, next: rng.IntN(1 << 16)}
 }
 
 // ListFailed takes that asking failed or the watch broke: ask again, later and
@@ -781,11 +770,9 @@
 
 func (b *Balancer) upCount() int {
 	n := 0
-	for _, g := range b.groups {
-		for _, m := range g.members {
-			if m.State == Up {
-				n++
-			}
+	for _, m := range b.listed {
+		if m.State == Up {
+			n++
 		}
 	}
 	return max(n, 1)
