--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,6 +74,7 @@
 	strainMost   = 1.0 // one very late call counts no more than this
 	limitStep    = 0.3 // speed of the limit's correction
 	limitInUse   = 0.5 // share of the limit in flight from which it is corrected
+	limitLeast   = 0.4 // share of the first limit that it keeps: no queue comes of that
 	// limitPerBackend is the limit at the start for each backend, over all
 	// balancers: a few calls keep a backend busy without a queue.
 	limitPerBackend = 5.0
@@ -111,8 +112,8 @@
 	askWait  time.Duration
 	patience time.Duration // first ejection
 
-	inFlight    int
-	limit       float64
+	limit       float64 // calls in flight for each unit of size in use
+	firstLimit  float64
 	retryTokens float64
 	lastSend    Time
 	sendGap     float64 // mean time between sends
@@ -193,7 +194,7 @@
 	b.requests[r.ID] = q
 	b.classes[r.Class].meet(r.Budget)
 	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
-	if !b.admit(q) {
+	if !b.admit(now, q) {
 		b.giveUp(q)
 		return
 	}
@@ -204,7 +205,7 @@
 // aim, queues hold the work, and more of it only makes more answers late. What
 // is worth least for its time is turned away first. Only the tier that faces
 // clients limits: a call refused further down wastes what was done above it.
-func (b *Balancer) admit(q *request) bool {
+func (b *Balancer) admit(now Time, q *request) bool {
 	if b.set.Tier > 0 {
 		return true
 	}
@@ -216,7 +217,21 @@
 	if best > 0 {
 		part = limitLowest + (1-limitLowest)*b.classes[q.Class].value()/best
 	}
-	return float64(b.inFlight) < math.Max(1, b.limit*part)
+	calls, size := b.working(now)
+	return calls < max(1, part*b.limit*size)
+}
+
+// working counts the calls in flight on backends in use and these backends'
+// size, cold ones in part. The limit is for each unit of that size, so that it
+// shrinks at once with a fleet that loses backends or starts them cold.
+func (b *Balancer) working(now Time) (calls, size float64) {
+	for _, m := range b.listed {
+		if m.State == Up && m.ejected == 0 {
+			calls += float64(m.inFlight)
+			size += m.Size * m.warmth(now, &b.set)
+		}
+	}
+	return calls, size
 }
 
 // value is the worth for each unit of time; 0 before the class was ever seen.
@@ -240,12 +255,11 @@
 		b.giveUp(q)
 		return
 	}
-	to := b.pick(now, q)
-	if to == nil {
+	if to := b.pick(now, q); to != nil {
+		b.send(now, q, to, b.timeout(now, q, allowance))
+	} else {
 		b.giveUp(q)
-		return
 	}
-	b.send(now, q, to, b.timeout(now, q, allowance))
 }
 
 // timeout is the full allowance; where no attempt could follow one that timed
@@ -263,7 +277,7 @@
 	b.sendGap += gapWeight * (float64(now-b.lastSend) - b.sendGap)
 	b.lastSend = now
 	if to.warmth(now, &b.set) < 1 {
-		gap := b.sendGap * float64(b.upCount()) * coldCaution / to.warmth(now, &b.set)
+		gap := b.sendGap * float64(len(b.listed)) * coldCaution / to.warmth(now, &b.set)
 		to.notBefore = now + time.Duration(gap)
 	}
 	trial := to.ejected > 0
@@ -271,7 +285,6 @@
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial})
 	q.out++
 	to.inFlight++
-	b.inFlight++
 	b.act.Send(q.ID, to.ID, timeout)
 }
 
@@ -334,10 +347,8 @@
 // dueTrial finds an ejected backend whose trial call is due. A trial may fail,
 // so it is made with a request that can be tried again.
 func (b *Balancer) dueTrial(now Time, q *request) *backend {
-	if len(q.attempts) > 0 || b.classes[q.Class].Repeat == Unsafe {
-		return nil
-	}
-	if 2*b.classes[q.Class].allowance > float64(q.available(now)) {
+	c := &b.classes[q.Class]
+	if len(q.attempts) > 0 || c.Repeat == Unsafe || 2*c.allowance > float64(q.available(now)) {
 		return nil
 	}
 	for _, m := range b.listed {
@@ -363,16 +374,13 @@
 
 // failing tells whether over half of the group is out of use.
 func (g *group) failing() bool {
-	up, bad := 0, 0
+	inUse := 0
 	for _, m := range g.members {
-		if m.State == Up {
-			up++
-			if m.ejected > 0 {
-				bad++
-			}
+		if m.State == Up && m.ejected == 0 {
+			inUse++
 		}
 	}
-	return 2*bad > up || up == 0
+	return 2*inUse < len(g.members)
 }
 
 // load is the mean of own calls in flight, for each unit of size.
@@ -426,7 +434,6 @@
 	a.notRun = o.Result == Full || o.Result == NoConnect || o.Result == NeverSent
 	q.out--
 	a.to.inFlight--
-	b.inFlight--
 	b.learnFrom(now, q, a, o)
 	if o.Final {
 		q.ended = true
@@ -457,13 +464,12 @@
 // together every allowance is short and retries would burn what is left. Only
 // attempts after one that may have been worked on count.
 func (b *Balancer) spendRetry(last *attempt) bool {
-	if last.notRun {
-		return true
-	}
-	if b.retryTokens < 1 {
+	if !last.notRun && b.retryTokens < 1 {
 		return false
 	}
-	b.retryTokens--
+	if !last.notRun {
+		b.retryTokens--
+	}
 	return true
 }
 
@@ -583,7 +589,7 @@
 	if o.Result == OK || o.Result == TimedOut {
 		a.to.slowness += failureWeight * (float64(o.Latency)/c.cost - a.to.slowness)
 		a.to.heard = now
-		b.correctLimit(float64(o.Latency) / float64(max(c.Aim, 1)))
+		b.correctLimit(now, float64(o.Latency)/float64(max(c.Aim, 1)))
 	}
 	b.judge(now, a, c, o.Result)
 }
@@ -620,10 +626,11 @@
 // correctLimit moves the limit until the mean strain is on target, but only while
 // it is in use: else a quiet hour's few late answers would close it, or its many
 // early ones open it to a flood.
-func (b *Balancer) correctLimit(strain float64) {
-	if float64(b.inFlight+1) > limitInUse*b.limit {
-		step := limitStep * (strainTarget - min(strain, strainMost))
-		b.limit = max(float64(len(b.groups)), b.limit+step)
+func (b *Balancer) correctLimit(now Time, strain float64) {
+	calls, size := b.working(now)
+	if calls+1 > limitInUse*b.limit*size {
+		step := limitStep * (strainTarget - min(strain, strainMost)) / max(size, 1)
+		b.limit = max(limitLeast*b.firstLimit, b.limit+step)
 	}
 }
 
@@ -696,8 +703,13 @@
 		b.update(l)
 	}
 	b.regroup()
-	if b.limit == 0 {
-		b.limit = limitPerBackend * float64(b.upCount()) / float64(max(b.set.Balancers, 1))
+	if b.limit == 0 && len(b.listed) > 0 {
+		size := 0.0
+		for _, m := range b.listed {
+			size += m.Size
+		}
+		b.firstLimit = limitPerBackend * float64(len(b.listed)) / size / float64(max(b.set.Balancers, 1))
+		b.limit = b.firstLimit
 	}
 }
 
@@ -768,16 +780,6 @@
 	}
 }
 
-func (b *Balancer) upCount() int {
-	n := 0
-	for _, m := range b.listed {
-		if m.State == Up {
-			n++
-		}
-	}
-	return max(n, 1)
-}
-
 // jitter spreads d over half to one and a half times itself.
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return max(1, time.Duration((0.5+b.rng.Float64())*float64(d)))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -344,13 +344,13 @@
 	b, f := start(testSettings(), line("b", 1))
 	b.Arrive(0, Request{ID: "r", Class: unsafe, Budget: 2000 * ms})
 	b.Gone(10*ms, "r")
-	if b.inFlight != 1 {
-		t.Errorf("%d in flight, want 1: the attempt is still out", b.inFlight)
+	if m := b.backends["b1"]; m.inFlight != 1 {
+		t.Errorf("%d in flight, want 1: the attempt is still out", m.inFlight)
 	}
 	b.Done(20*ms, Outcome{Request: "r", Result: Cancelled})
 	b.Done(20*ms, Outcome{Request: "r", Result: Cancelled}) // repeated: ignored
-	if b.inFlight != 0 || len(b.requests) != 0 || len(f.answers) != 0 {
-		t.Errorf("in flight %d, held %d, answers %v", b.inFlight, len(b.requests), f.answers)
+	if n := b.backends["b1"].inFlight; n != 0 || len(b.requests) != 0 || len(f.answers) != 0 {
+		t.Errorf("in flight %d, held %d, answers %v", n, len(b.requests), f.answers)
 	}
 }
 
@@ -610,7 +610,7 @@
 func TestLimitRefusesTheLeastWorthFirst(t *testing.T) {
 	refused := func(class int) int {
 		b, f := start(testSettings(), zoneLines("b", 4)...)
-		b.limit = 8
+		b.limit = 2 // for each of four
 		for i := range b.classes {
 			b.classes[i].meet(2000 * ms)
 		}
@@ -632,21 +632,22 @@
 
 func TestLimitFollowsStrain(t *testing.T) {
 	b, _ := start(testSettings(), zoneLines("b", 4)...)
-	b.inFlight = 100
+	b.backends["b0"].inFlight = 100
 	before := b.limit
-	b.correctLimit(2 * strainTarget)
+	b.correctLimit(0, 2*strainTarget)
 	if b.limit >= before {
 		t.Error("late answers did not lower the limit")
 	}
 	before = b.limit
-	b.correctLimit(strainTarget / 2)
+	b.correctLimit(0, strainTarget/2)
 	if b.limit <= before {
 		t.Error("early answers did not raise the limit")
 	}
-	b.inFlight, before = 0, b.limit
-	b.correctLimit(0)
+	b.backends["b0"].inFlight, before = 0, b.limit
+	b.correctLimit(0, 0)
+	b.correctLimit(0, 1)
 	if b.limit != before {
-		t.Error("the limit grew while it was not in use")
+		t.Error("the limit moved while it was not in use")
 	}
 }
 
@@ -754,3 +755,27 @@
 		t.Errorf("calls %v, want few but some at b1, four times slower", counts)
 	}
 }
+
+// Guards against a limit learned with more backends: when half of them vanish,
+// or their successors start cold, the rest would get all the calls and tip.
+func TestLimitShrinksWithTheFleet(t *testing.T) {
+	admitted := func(change func(b *Balancer)) int {
+		b, f := start(testSettings(), zoneLines("b", 8)...)
+		b.limit = 4
+		change(b)
+		for i := range 60 {
+			b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 2000 * ms})
+		}
+		return len(f.sends)
+	}
+	all := admitted(func(*Balancer) {})
+	half := admitted(func(b *Balancer) { b.List(0, true, zoneLines("b", 4)) })
+	ejected := admitted(func(b *Balancer) {
+		for _, m := range b.listed[:4] {
+			m.ejected, m.inFlight, m.trialAt = 1, 4, 1000*ms // with calls that hang there
+		}
+	})
+	if all != 32 || half != 16 || ejected != 16 {
+		t.Errorf("admitted %d with all, %d with half gone, %d with half ejected", all, half, ejected)
+	}
+}
