--- a/logic/logic.go
+++ b/logic/logic.go
@@ -630,6 +630,9 @@
 	calls, size := b.working(now)
 	if calls+1 > limitInUse*b.limit*size {
 		step := limitStep * (strainTarget - min(strain, strainMost)) / max(size, 1)
+		if step < 0 { // who holds more gives back more, so that balancers even out
+			step *= b.limit / b.firstLimit
+		}
 		b.limit = max(limitLeast*b.firstLimit, b.limit+step)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -779,3 +779,19 @@
 		t.Errorf("admitted %d with all, %d with half gone, %d with half ejected", all, half, ejected)
 	}
 }
+
+// Guards against one balancer holding most of the calls in flight while others,
+// who suffer the same queues, are driven to the floor.
+func TestLimitComesDownInProportion(t *testing.T) {
+	drop := func(limit float64) float64 {
+		b, _ := start(testSettings(), zoneLines("b", 4)...)
+		b.limit = limit * b.firstLimit
+		b.backends["b0"].inFlight = 1000
+		before := b.limit
+		b.correctLimit(0, 1)
+		return before - b.limit
+	}
+	if small, large := drop(1), drop(4); large < 3.9*small || small <= 0 {
+		t.Errorf("gave back %v of a limit, %v of one four times as large", small, large)
+	}
+}
