--- a/logic/logic.go
+++ b/logic/logic.go
@@ -651,7 +651,6 @@
 		failed = 1
 	case Full:
 		b.pause(now, m, c)
-		b.correctLimit(now, strainMost)
 		return
 	default:
 		return
