--- a/logic/logic.go
+++ b/logic/logic.go
@@ -114,6 +114,7 @@
 
 	limit       float64 // calls in flight for each unit of size in use
 	firstLimit  float64
+	limitSize   float64
 	retryTokens float64
 	lastSend    Time
 	sendGap     float64 // mean time between sends
@@ -628,6 +629,10 @@
 // early ones open it to a flood.
 func (b *Balancer) correctLimit(now Time, strain float64) {
 	calls, size := b.working(now)
+	if size > b.limitSize { // newcomers start at the first limit at most
+		b.limit = max(min(b.limit, b.firstLimit), b.limit*b.limitSize/size)
+	}
+	b.limitSize = size
 	if calls+1 > limitInUse*b.limit*size {
 		step := limitStep * (strainTarget - min(strain, strainMost)) / max(size, 1)
 		if step < 0 { // who holds more gives back more, so that balancers even out
