--- a/logic/logic.go
+++ b/logic/logic.go
@@ -114,7 +114,6 @@
 
 	limit       float64 // calls in flight for each unit of size in use
 	firstLimit  float64
-	limitSize   float64
 	retryTokens float64
 	lastSend    Time
 	sendGap     float64 // mean time between sends
@@ -128,7 +127,6 @@
 }
 
 type group struct {
-	zone    string
 	members []*backend
 	next    int // rotation
 }
@@ -212,7 +210,9 @@
 	}
 	best := 0.0
 	for i := range b.classes {
-		best = max(best, b.classes[i].value())
+		if b.classes[i].cost > 0 { // was ever seen
+			best = max(best, b.classes[i].value())
+		}
 	}
 	part := 1.0
 	if best > 0 {
@@ -235,12 +235,9 @@
 	return calls, size
 }
 
-// value is the worth for each unit of time; 0 before the class was ever seen.
+// value is the worth for each unit of time.
 func (c *class) value() float64 {
-	if c.cost == 0 {
-		return 0
-	}
-	return c.Worth / c.cost
+	return c.Worth / max(c.cost, 1)
 }
 
 // available is the time really left for waits and attempts.
@@ -629,10 +626,6 @@
 // early ones open it to a flood.
 func (b *Balancer) correctLimit(now Time, strain float64) {
 	calls, size := b.working(now)
-	if size > b.limitSize { // newcomers start at the first limit at most
-		b.limit = max(min(b.limit, b.firstLimit), b.limit*b.limitSize/size)
-	}
-	b.limitSize = size
 	if calls+1 > limitInUse*b.limit*size {
 		step := limitStep * (strainTarget - min(strain, strainMost)) / max(size, 1)
 		if step < 0 { // who holds more gives back more, so that balancers even out
@@ -772,11 +765,11 @@
 // newGroup goes on with the old rotation of its zone, or starts one at random.
 func newGroup(zone string, old []*group, rng *rand.Rand) *group {
 	for _, g := range old {
-		if g.zone == zone {
-			return &group{zone: zone, next: g.next}
+		if g.members[0].Zone == zone {
+			return &group{next: g.next}
 		}
 	}
-	return &group{zone: zone, next: rng.IntN(1 << 16)}
+	return &group{next: rng.IntN(1 << 16)}
 }
 
 // ListFailed takes that asking failed or the watch broke: ask again, later and
