--- a/logic/logic.go
+++ b/logic/logic.go
@@ -189,9 +189,6 @@
 
 // Arrive takes a request; it will get exactly one final answer.
 func (b *Balancer) Arrive(now Time, r Request) {
-	if c := &b.classes[r.Class]; b.set.Tier == 0 && c.LateWorth == 0 && c.Aim > 0 {
-		r.Budget = min(r.Budget, c.Aim)
-	}
 	q := &request{Request: r, deadline: now + r.Budget}
 	b.requests[r.ID] = q
 	b.classes[r.Class].meet(r.Budget)
