--- /dev/null
+++ b/logic/rules_test.go
@@ -0,0 +1,337 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// This file drives the module through long seeded sequences of legal events and
+// checks after each step what one balancer can see of the four rules.
+
+// world is a fake that plays backends and checks every action.
+type world struct {
+	rng      *rand.Rand
+	set      Settings
+	b        *Balancer
+	now      Time
+	open     map[string]*openRequest
+	ids      []string // of open requests and of those with attempts out, in order
+	backends map[string]Backend
+	wakes    []pendingWake
+	fault    error
+	serial   int
+}
+
+type openRequest struct {
+	class    int
+	deadline Time
+	answered bool
+	tries    []*try
+}
+
+type try struct {
+	to      Backend
+	sent    Time
+	timeout time.Duration
+	done    bool
+	mayRun  bool // while out, and after any outcome that proves nothing
+}
+
+type pendingWake struct {
+	token uint64
+	at    Time
+}
+
+func (w *world) failf(format string, args ...any) {
+	if w.fault == nil {
+		w.fault = fmt.Errorf("at %v: %w", w.now, fmt.Errorf(format, args...))
+	}
+}
+
+func (w *world) Send(request, backend string, timeout time.Duration) {
+	q, to := w.open[request], w.backends[backend]
+
+	switch {
+	case q == nil:
+		w.failf("%s: sent, but it is over", request)
+		return
+	case q.answered:
+		w.failf("%s: sent after its answer", request)
+	case to.ID == "" || to.State != Up:
+		w.failf("%s: sent to %s, which drains or is gone", request, backend)
+	case len(q.tries) >= w.set.MaxAttempts:
+		w.failf("%s: more attempts than allowed", request)
+	case timeout <= 0 || w.now+timeout > q.deadline:
+		w.failf("%s: time-out %v passes the deadline", request, timeout)
+	}
+	c := w.set.Classes[q.class]
+	for _, t := range q.tries {
+		if !t.done {
+			w.failf("%s: two attempts out together", request)
+		}
+		if !t.mayRun {
+			continue
+		}
+		same := c.Scope == ScopeAll || c.Scope == ScopeZone && t.to.Zone == to.Zone ||
+			c.Scope == ScopeCell && t.to.Cell == to.Cell
+		switch {
+		case c.Repeat == Unsafe:
+			w.failf("%s: unsafe, sent again after it may have run", request)
+		case c.Repeat == Keyed && !same:
+			w.failf("%s: keyed, sent from %s to %s outside its group", request, t.to.ID, to.ID)
+		case c.Repeat == Keyed && w.now-t.sent > c.Memory:
+			w.failf("%s: keyed, sent again after it was forgotten", request)
+		}
+	}
+	q.tries = append(q.tries, &try{to: to, sent: w.now, timeout: timeout, mayRun: true})
+}
+
+func (w *world) Refuse(request string, comeBack time.Duration) {
+	q := w.answer(request)
+	if q == nil {
+		return
+	}
+	c := w.set.Classes[q.class]
+	for _, t := range q.tries {
+		if t.mayRun && (c.Repeat == Unsafe || c.Repeat == Keyed && c.Scope != ScopeAll) {
+			w.failf("%s: refused, though it may have run", request)
+		}
+	}
+	if comeBack < 0 || comeBack > w.set.MaxComeBack {
+		w.failf("%s: come back after %v", request, comeBack)
+	}
+}
+
+func (w *world) Fail(request string) { w.answer(request) }
+
+func (w *world) answer(request string) *openRequest {
+	q := w.open[request]
+	if q == nil || q.answered {
+		w.failf("%s: a second answer", request)
+		return nil
+	}
+	q.answered = true
+	return q
+}
+
+func (w *world) Wake(token uint64, after time.Duration) {
+	w.wakes = append(w.wakes, pendingWake{token, w.now + after})
+}
+
+func (w *world) WatchList() {
+	if w.rng.IntN(3) == 0 {
+		w.b.ListFailed(w.now)
+	}
+}
+
+// step lets some time pass and one thing happen.
+func (w *world) step() {
+	w.now += time.Duration(w.rng.IntN(int(8 * ms)))
+	w.due()
+	switch w.rng.IntN(12) {
+	case 0:
+		w.changeList()
+	case 1:
+		w.clientLeaves()
+	case 2, 3, 4, 5:
+		w.arrive()
+	default:
+		w.finishOne()
+	}
+	w.check()
+}
+
+func (w *world) arrive() {
+	w.serial++
+	id := fmt.Sprint("r", w.serial)
+	budget := time.Duration(w.rng.IntN(int(2000 * ms)))
+	if w.rng.IntN(20) == 0 {
+		budget = 0
+	}
+	class := w.rng.IntN(len(w.set.Classes))
+	w.open[id] = &openRequest{class: class, deadline: w.now + budget}
+	w.ids = append(w.ids, id)
+	w.b.Arrive(w.now, Request{ID: id, Class: class, Budget: budget})
+}
+
+// due fires wakes and time-outs whose time has come, in order.
+func (w *world) due() {
+	for i := 0; i < len(w.wakes); i++ {
+		if p := w.wakes[i]; p.at <= w.now {
+			w.wakes = append(w.wakes[:i], w.wakes[i+1:]...)
+			i--
+			w.b.Wake(w.now, p.token)
+		}
+	}
+	for _, id := range append([]string(nil), w.ids...) {
+		for n, t := range w.open[id].tries {
+			if !t.done && w.now >= t.sent+t.timeout {
+				w.finish(id, n, TimedOut)
+			}
+		}
+	}
+}
+
+func (w *world) finishOne() {
+	if len(w.ids) == 0 {
+		return
+	}
+	id := w.ids[w.rng.IntN(len(w.ids))]
+	for n, t := range w.open[id].tries {
+		if !t.done {
+			w.finish(id, n, Result(w.rng.IntN(int(NeverSent)+1)))
+			return
+		}
+	}
+}
+
+func (w *world) finish(id string, n int, r Result) {
+	q := w.open[id]
+	t := q.tries[n]
+	t.done = true
+	t.mayRun = r != Full && r != NoConnect && r != NeverSent
+	final := q.answered || r == OK
+	q.answered = final
+	w.b.Done(w.now, Outcome{Request: id, Attempt: n, Result: r, Latency: w.now - t.sent, Final: final})
+}
+
+func (w *world) clientLeaves() {
+	if len(w.ids) == 0 {
+		return
+	}
+	id := w.ids[w.rng.IntN(len(w.ids))]
+	if q := w.open[id]; !q.answered {
+		q.answered = true
+		w.b.Gone(w.now, id)
+	}
+}
+
+func (w *world) changeList() {
+	id := fmt.Sprint("b", w.rng.IntN(12))
+	l, known := w.backends[id]
+	if !known || l.State == Removed {
+		n := w.rng.IntN(3)
+		l = Backend{ID: id, Zone: string(rune('a' + n)), Cell: w.rng.IntN(4), Size: 1, Started: w.now}
+	} else {
+		l.State = State(w.rng.IntN(3))
+	}
+	w.backends[id] = l
+	if w.rng.IntN(4) > 0 {
+		w.b.List(w.now, false, []Backend{l})
+		return
+	}
+	var lines []Backend
+	for i := range 12 { // a full list names what is not removed
+		if l, ok := w.backends[fmt.Sprint("b", i)]; ok && l.State != Removed {
+			lines = append(lines, l)
+		}
+	}
+	w.b.List(w.now, true, lines)
+}
+
+// check looks at what must hold between events.
+func (w *world) check() {
+	kept := w.ids[:0]
+	for _, id := range w.ids {
+		q := w.open[id]
+		out := 0
+		for _, t := range q.tries {
+			if !t.done {
+				out++
+			}
+		}
+		if !q.answered && w.now > q.deadline {
+			w.failf("%s: unanswered past its deadline", id)
+		}
+		if q.answered && out == 0 {
+			delete(w.open, id)
+			continue
+		}
+		kept = append(kept, id)
+	}
+	w.ids = kept
+	if len(w.b.requests) > len(w.ids) {
+		w.failf("the module holds %d requests, %d are open", len(w.b.requests), len(w.ids))
+	}
+	if len(w.b.backends) > 12 || len(w.b.wakes) > len(w.ids) {
+		w.failf("the module remembers %d backends and %d waits", len(w.b.backends), len(w.b.wakes))
+	}
+}
+
+// play runs a world; spoil may break the module, to show that checks catch it.
+func play(seed uint64, steps int, spoil func(*Balancer)) error {
+	set := testSettings()
+	set.Seed, set.Balancers = seed, 3
+	set.Tier = int(seed % 2)
+	for i := range set.Classes {
+		set.Classes[i].Memory = 200 * ms // short enough to run out between attempts
+	}
+	set.AskForList, set.AskWithin = seed%3 == 0, 10000*ms
+	set.SecondCopies = seed%5 == 0
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), set: set,
+		open: map[string]*openRequest{}, backends: map[string]Backend{},
+	}
+	w.b = New(0, set, w)
+	if spoil != nil {
+		spoil(w.b)
+	}
+	for range 6 {
+		w.changeList()
+	}
+	for i := 0; i < steps && w.fault == nil; i++ {
+		w.step()
+	}
+	return w.fault
+}
+
+func TestRulesHoldThroughRandomEvents(t *testing.T) {
+	for seed := range uint64(40) {
+		if err := play(seed, 3000, nil); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// Each check must be able to fail: a module told wrong things breaks the rules.
+func TestChecksCatchABrokenModule(t *testing.T) {
+	classes := func(change func(*Class)) func(*Balancer) {
+		return func(b *Balancer) {
+			b.set.Classes = append([]Class(nil), b.set.Classes...)
+			for i := range b.classes {
+				change(&b.classes[i].Class)
+			}
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		spoil func(*Balancer)
+	}{
+		{"unsafe taken for safe", classes(func(c *Class) { c.Repeat = Safe })},
+		{"zones taken for all", classes(func(c *Class) { c.Scope = ScopeAll })},
+		{"memory taken for longer", classes(func(c *Class) { c.Memory = time.Hour })},
+		{"more attempts than allowed", func(b *Balancer) { b.set.MaxAttempts = 50 }},
+		{"come-back times too long", func(b *Balancer) { b.set.MaxComeBack = time.Hour }},
+	} {
+		caught := false
+		for seed := uint64(0); seed < 200 && !caught; seed++ {
+			caught = play(seed, 3000, c.spoil) != nil
+		}
+		if !caught {
+			t.Errorf("%s: no check fails", c.name)
+		}
+	}
+}
+
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(8) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		if err := play(seed, 500, nil); err != nil {
+			t.Error(err)
+		}
+	})
+}
