--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,7 +71,7 @@
 	strainMost   = 1.0 // one very late call counts no more than this
 	limitStep    = 0.3 // speed of the limit's correction
 	limitInUse   = 0.5 // share of the limit in flight from which it is corrected
-	limitLeast   = 0.4 // share of the first limit that it keeps: no queue comes of that
+	limitLeast   = 0.7 // share of the first limit that it keeps: no queue comes of that
 	// limitPerBackend is the limit at the start for each backend, over all
 	// balancers: a few calls keep a backend busy without a queue.
 	limitPerBackend = 5.0
