--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,7 @@
 
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
-	allowanceRank    = 0.98
+	allowanceRank    = 0.995
 	allowanceStep    = 0.1  // how fast it follows against how much it jitters
 	allowanceFloor   = 0.02 // share of the class's deadline; below it lies noise
 	allowanceStart   = 0.25 // share of the first budget seen, before any sample
