--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -233,6 +233,11 @@
 	in.act(wire.Action{Type: "schedule", Nonce: &token, Wait: milliseconds(after)})
 }
 
+// CloseIdle implements logic.Actions.
+func (in *instance) CloseIdle(backend string) {
+	in.act(wire.Action{Type: "free-links", Backend: backend})
+}
+
 // WatchList implements logic.Actions.
 func (in *instance) WatchList() {
 	in.act(wire.Action{Type: "observe", Enable: true})
--- a/logic/api.go
+++ b/logic/api.go
@@ -122,6 +122,8 @@
 	Fail(request string)
 	// Wake asks for a Wake event with token after the given time.
 	Wake(token uint64, after time.Duration)
+	// CloseIdle closes this balancer's idle connections to a backend.
+	CloseIdle(backend string)
 	// WatchList subscribes to list changes.
 	WatchList()
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,6 +19,8 @@
 	// less risks answers after the client left, more gives up useful attempts.
 	reserveShare = 0.02
 
+	meanWeight = 0.05 // of one sample in a running mean: follow against jitter
+
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
 	allowanceRank    = 0.995
@@ -26,7 +28,6 @@
 	allowanceFloor   = 0.02 // share of the class's deadline; below it lies noise
 	allowanceStart   = 0.25 // share of the first budget seen, before any sample
 	allowanceCeiling = 0.7  // share of the usual budget; above it too little fits
-	budgetWeight     = 0.05 // of one budget in the usual one
 	// lateError is the share of the allowance after which an error counts as a
 	// time-out: the tier below most likely ran out of the time we passed on.
 	lateError = 0.5
@@ -38,19 +39,15 @@
 	// busyFactor is "well above the mean" within a group: lower evens out load
 	// of unlike backends, higher keeps the rotation even.
 	busyFactor = 1.25
-	// slowWeight is how much more calls in flight count on a backend slower than
-	// its peers: higher spares choked ones sooner, lower leaves unlike ones turns.
+	// How much more calls count on slow backends: spares choked ones against turns.
 	slowWeight = 2.0
 
-	// spillFactor and spillMargin are "well over the next group's": lower uses
-	// idle zones sooner, higher pays for fewer crossings.
+	// "Well over the next group's": lower uses idle zones sooner, higher crosses less.
 	spillFactor = 1.5
 	spillMargin = 1.0
 
-	// retryShare of first attempts may be followed by one more on backends that
-	// may have done the work already; retryBurst is what may be saved up.
-	retryShare = 0.1
-	retryBurst = 10
+	retryShare = 0.1 // of first attempts may be repeated after they may have run
+	retryBurst = 10  // as many repeats may be saved up
 
 	// A backend is ejected when its failure share is over ejectShare and
 	// ejectFactor times its peers' mean: quick to drop the bad one, deaf to
@@ -59,32 +56,28 @@
 	ejectFactor   = 2.0
 	failureWeight = 0.2
 	ejectMost     = 0.5 // never eject more than this share of the backends
-	// ejectPatience is the first ejection as a share of the longest deadline;
-	// each failed trial doubles it, up to ejectGrowth doublings.
-	ejectPatience = 0.5
-	ejectGrowth   = 3
-
-	// strainTarget is the mean latency, as a share of the aim, at which the
-	// limit on calls in flight settles. Lower turns work away that would have
-	// been in time, higher fills queues until answers come late.
-	strainTarget = 0.25
-	strainMost   = 1.0 // one very late call counts no more than this
-	limitStep    = 0.3 // speed of the limit's correction
-	limitInUse   = 0.5 // share of the limit in flight from which it is corrected
-	limitLeast   = 0.7 // share of the first limit that it keeps: no queue comes of that
-	// limitPerBackend is the limit at the start for each backend, over all
-	// balancers: a few calls keep a backend busy without a queue.
-	limitPerBackend = 5.0
-	// limitLowest is the share of the limit open to work that is worth next to
-	// nothing for its time; the most worthwhile class has all of it.
+	ejectPatience = 0.5 // the first ejection, as a share of the longest deadline
+	ejectGrowth   = 3   // doublings by failed trials
+
+	// strainTarget is the mean latency, as a share of the aim, where the limit on calls
+	// in flight settles: lower refuses work that fits, higher fills queues.
+	strainTarget    = 0.25
+	strainMost      = 1.0 // one very late call counts no more than this
+	limitStep       = 0.3 // speed of the limit's correction
+	limitInUse      = 0.5 // share of the limit in flight from which it is corrected
+	limitLeast      = 0.7 // share of the first limit that it keeps: no queue comes of that
+	limitPerBackend = 5.0 // at the start, over all balancers: busy without a queue
+	// limitLowest is the part of the limit for work worth next to nothing.
 	limitLowest = 0.75
 
 	comeBackShare = 0.25 // of its aim is what a refused client is told to wait
 	coldCaution   = 1.5  // divides a cold backend's part: it may be a slow one, too
-	// fullPause, in mean latencies of the class, is how long a backend that was
-	// full is left alone; it doubles up to fullGrowth times while it stays full.
-	fullPause  = 0.5
-	fullGrowth = 4
+	fullPause     = 0.5  // mean latencies of the class that a full backend is left alone
+	fullGrowth    = 4    // doublings while it stays full
+
+	// staleShare of outcomes broken is where idle connections are taken for stale;
+	// lower opens more new ones, higher lets more calls break.
+	staleShare = 0.02
 
 	askShare = 0.05 // of the ask-within time: the first wait to ask again
 )
@@ -109,6 +102,7 @@
 	limit       float64 // calls in flight for each unit of size in use
 	firstLimit  float64
 	retryTokens float64
+	broken      float64 // share of recent outcomes
 	lastSend    Time
 	sendGap     float64 // mean time between sends
 }
@@ -265,8 +259,7 @@
 }
 
 func (b *Balancer) send(now Time, q *request, to *backend, timeout time.Duration) {
-	const gapWeight = 0.05
-	b.sendGap += gapWeight * (float64(now-b.lastSend) - b.sendGap)
+	b.sendGap += meanWeight * (float64(now-b.lastSend) - b.sendGap)
 	b.lastSend = now
 	to.sent = now
 	trial := to.ejected > 0
@@ -274,6 +267,9 @@
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial})
 	q.out++
 	to.inFlight++
+	if b.broken > staleShare {
+		b.act.CloseIdle(to.ID)
+	}
 	b.act.Send(q.ID, to.ID, timeout)
 }
 
@@ -573,10 +569,16 @@
 // learnFrom draws from an outcome: latency, the backend's health, the limit.
 func (b *Balancer) learnFrom(now Time, q *request, a *attempt, o Outcome) {
 	c := &b.classes[q.Class]
+	// Guards against connections that something on the way drops while idle: each
+	// breaks the next call sent on it, so while many break, calls go on new ones.
+	b.broken -= meanWeight * b.broken
+	if o.Result == Broken {
+		b.broken += meanWeight
+	}
 	switch o.Result {
 	case OK:
 		c.learn(float64(o.Latency))
-		c.cost += failureWeight / 4 * (float64(o.Latency) - c.cost)
+		c.cost += meanWeight * (float64(o.Latency) - c.cost)
 	case TimedOut:
 		c.learn(c.allowance)
 	case Error: // guards against an allowance that only ever sees the quick ones
@@ -600,7 +602,7 @@
 		c.allowance = allowanceStart * c.budget
 		c.cost = c.allowance
 	}
-	c.budget += budgetWeight * (float64(budget) - c.budget)
+	c.budget += meanWeight * (float64(budget) - c.budget)
 	c.bound()
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -25,6 +25,7 @@
 	answers map[string][]answer
 	wakes   map[uint64]time.Duration
 	watches int
+	closed  int
 }
 
 func newFake() *fake {
@@ -44,6 +45,7 @@
 }
 
 func (f *fake) Wake(token uint64, after time.Duration) { f.wakes[token] = after }
+func (f *fake) CloseIdle(backend string)               { f.closed++ }
 func (f *fake) WatchList()                             { f.watches++ }
 
 // last is the newest send.
@@ -845,3 +847,35 @@
 		t.Errorf("the ten cold backends got %.2f of the calls, want about half", share)
 	}
 }
+
+// Guards against connections dropped while idle: while many calls break, each
+// goes on a new connection, and no longer than that.
+func TestStaleConnections(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 4)...)
+	b.set.Tier = 1
+	n := 0
+	call := func(r Result) {
+		id := fmt.Sprint("r", n)
+		n++
+		b.Arrive(Time(n)*ms, Request{ID: id, Class: unsafe, Budget: 2000 * ms})
+		b.Done(Time(n)*ms, Outcome{Request: id, Result: r, Latency: ms, Final: r == OK})
+	}
+	call(OK)
+	if f.closed != 0 {
+		t.Error("connections closed though none broke")
+	}
+	for range 20 {
+		call(Broken)
+	}
+	if f.closed < 15 {
+		t.Errorf("closed %d times in 20 breaks", f.closed)
+	}
+	for range 200 {
+		call(OK)
+	}
+	before := f.closed
+	call(OK)
+	if f.closed != before {
+		t.Error("still closing connections long after the last break")
+	}
+}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -120,6 +120,8 @@
 	w.wakes = append(w.wakes, pendingWake{token, w.now + after})
 }
 
+func (w *world) CloseIdle(string) {}
+
 func (w *world) WatchList() {
 	if w.rng.IntN(3) == 0 {
 		w.b.ListFailed(w.now)
