--- a/logic/logic.go
+++ b/logic/logic.go
@@ -577,7 +577,6 @@
 	}
 	switch o.Result {
 	case OK:
-		b.correctLimit(now, float64(o.Latency)/float64(max(c.Aim, 1)))
 		c.learn(float64(o.Latency))
 		c.cost += meanWeight * (float64(o.Latency) - c.cost)
 	case TimedOut:
@@ -590,6 +589,7 @@
 	if o.Result == OK || o.Result == TimedOut {
 		a.to.slowness += failureWeight * (float64(o.Latency)/c.cost - a.to.slowness)
 		a.to.heard = now
+		b.correctLimit(now, float64(o.Latency)/float64(max(c.Aim, 1)))
 	}
 	b.judge(now, a, c, o.Result)
 }
