Remove settings that nothing reads and a clean-up done twice

SecondCopies and LateWorth were carried from the wire to the module and never read there; Wake forgot a request that giveUp had already forgotten; the retry budget asked the same question twice.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -120,17 +120,16 @@
 
 func settings(seed uint64, s *wire.Setup) (logic.Settings, error) {
 	set := logic.Settings{
-		Seed:         seed,
-		Zone:         s.Zone,
-		Zones:        s.Zones,
-		Tier:         s.Stage,
-		Balancers:    s.Balancers,
-		MaxAttempts:  s.Limits.MaxAttempts,
-		SecondCopies: s.Limits.ParallelTries,
-		AskForList:   s.Discovery == "on_request",
-		AskWithin:    duration(s.Rules.AskWithin),
-		ColdShare:    s.Rules.ColdFrom,
-		WarmWithin:   duration(s.Rules.WarmWithin),
+		Seed:        seed,
+		Zone:        s.Zone,
+		Zones:       s.Zones,
+		Tier:        s.Stage,
+		Balancers:   s.Balancers,
+		MaxAttempts: s.Limits.MaxAttempts,
+		AskForList:  s.Discovery == "on_request",
+		AskWithin:   duration(s.Rules.AskWithin),
+		ColdShare:   s.Rules.ColdFrom,
+		WarmWithin:  duration(s.Rules.WarmWithin),
 	}
 	if s.Limits.RetryAfter {
 		set.MaxComeBack = duration(s.Limits.MaxRetryAfter)
@@ -147,14 +146,13 @@
 			return set, fmt.Errorf("class %q: unknown group %q", c.Name, c.Group)
 		}
 		set.Classes = append(set.Classes, logic.Class{
-			Name:      c.Name,
-			Aim:       duration(c.Aim),
-			Deadline:  duration(c.GiveUp),
-			Worth:     c.Worth,
-			LateWorth: c.LateWorth,
-			Repeat:    repeat,
-			Scope:     scope,
-			Memory:    duration(c.Memory),
+			Name:     c.Name,
+			Aim:      duration(c.Aim),
+			Deadline: duration(c.GiveUp),
+			Worth:    c.Worth,
+			Repeat:   repeat,
+			Scope:    scope,
+			Memory:   duration(c.Memory),
 		})
 	}
 	return set, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,7 +54,6 @@
 		GiveUp      float64 `json:"give-up-ms"`
 		Group       string  `json:"group"`
 		Idempotency string  `json:"idempotency"`
-		LateWorth   float64 `json:"late-worth"`
 		Memory      float64 `json:"memory-span-ms"`
 		Worth       float64 `json:"worth"`
 	} `json:"classes"`
@@ -63,7 +62,6 @@
 		MaxAttempts   int     `json:"max-attempts"`
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		RetryAfter    bool    `json:"retry-after"`
-		ParallelTries bool    `json:"parallel-tries"`
 	} `json:"limits"`
 	Rules struct {
 		AskWithin  float64 `json:"ask-within-ms"`
--- a/logic/api.go
+++ b/logic/api.go
@@ -34,31 +34,29 @@
 
 // Class describes one class of request.
 type Class struct {
-	Name      string
-	Aim       time.Duration // an answer within this earns the full worth
-	Deadline  time.Duration // the client's whole patience, over all its tries
-	Worth     float64
-	LateWorth float64 // share of Worth earned between Aim and Deadline
-	Repeat    Repeat
-	Scope     Scope         // Keyed only
-	Memory    time.Duration // Keyed only: how long repeats are dropped
+	Name     string
+	Aim      time.Duration // an answer within this earns the full worth
+	Deadline time.Duration // the client's whole patience, over all its tries
+	Worth    float64
+	Repeat   Repeat
+	Scope    Scope         // Keyed only
+	Memory   time.Duration // Keyed only: how long repeats are dropped
 }
 
 // Settings is all that a balancer is told at its start.
 type Settings struct {
-	Seed         uint64
-	Zone         string   // this balancer's zone
-	Zones        []string // all zones, in an order that all balancers share
-	Classes      []Class
-	Tier         int // the tier it sends into; 0 faces the clients
-	Balancers    int // how many balancers send into this tier
-	MaxAttempts  int
-	SecondCopies bool          // two attempts of a request may be out together
-	MaxComeBack  time.Duration // longest come-back time clients obey; 0: none
-	AskForList   bool          // list changes come only once asked for
-	AskWithin    time.Duration // ask at least this often while not watching
-	ColdShare    float64       // share of its capacity a backend starts with
-	WarmWithin   time.Duration // it has all of it after this at the latest
+	Seed        uint64
+	Zone        string   // this balancer's zone
+	Zones       []string // all zones, in an order that all balancers share
+	Classes     []Class
+	Tier        int // the tier it sends into; 0 faces the clients
+	Balancers   int // how many balancers send into this tier
+	MaxAttempts int
+	MaxComeBack time.Duration // longest come-back time clients obey; 0: none
+	AskForList  bool          // list changes come only once asked for
+	AskWithin   time.Duration // ask at least this often while not watching
+	ColdShare   float64       // share of its capacity a backend starts with
+	WarmWithin  time.Duration // it has all of it after this at the latest
 }
 
 // State is what the list says of a backend.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -458,12 +458,13 @@
 // together every allowance is short and retries would burn what is left. Only
 // attempts after one that may have been worked on count.
 func (b *Balancer) spendRetry(last *attempt) bool {
-	if !last.notRun && b.retryTokens < 1 {
-		return false
+	if last.notRun {
+		return true
 	}
-	if !last.notRun {
-		b.retryTokens--
+	if b.retryTokens < 1 {
+		return false
 	}
+	b.retryTokens--
 	return true
 }
 
@@ -478,7 +479,6 @@
 	if q != nil && !q.ended {
 		q.token = 0
 		b.try(now, q)
-		b.forget(q)
 	}
 }
 
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -271,7 +271,6 @@
 		set.Classes[i].Memory = 200 * ms // short enough to run out between attempts
 	}
 	set.AskForList, set.AskWithin = seed%3 == 0, 10000*ms
-	set.SecondCopies = seed%5 == 0
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), set: set,
 		open: map[string]*openRequest{}, backends: map[string]Backend{},
