Hold the mean of calls in flight under the limit; turns by size and speed

Cause: with hundreds of balancers each one's part of the limit is about one call. In a group, a small backend with nothing in flight always looked well above the mean, so that the large ones got all calls and choked.

Change: the limit keeps account of what it left unused, up to two calls either way, and the worthiest work may draw on it. Turns go by size and slowness; a turn passed over is lost.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,6 @@
-// The decisions. The interface (Settings, Request, Outcome, Backend, Actions)
-// is in api.go; the reasons are in docs/design.md. Functions follow a request's
-// life: arrival, the fit test, choice of a backend, outcome, the next attempt,
-// the answer. Then come the list of backends and what is learned.
+// The decisions. The interface is in api.go; the reasons are in docs/design.md.
+// Functions follow a request's life: arrival, the fit test, choice of a backend,
+// outcome, the next attempt, the answer; then what is learned, and the list.
 
 package logic
 
@@ -15,11 +14,8 @@
 
 // What the constants balance. All are ratios; nothing here is a tuned time.
 const (
-	// reserveShare of a request's budget is kept for the answer's way back:
-	// less risks answers after the client left, more gives up useful attempts.
-	reserveShare = 0.02
-
-	meanWeight = 0.05 // of one sample in a running mean: follow against jitter
+	reserveShare = 0.02 // of the budget, for the answer's way back
+	meanWeight   = 0.05 // of one sample in a running mean: follow against jitter
 
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
@@ -32,15 +28,12 @@
 	// time-out: the tier below most likely ran out of the time we passed on.
 	lateError = 0.5
 
-	// Waits: time for a backend to recover against time for the attempt.
+	// Backoff: time for a backend to recover against time for the attempt.
 	backoffShare  = 0.1 // of the allowance, the first one
 	backoffGrowth = 2.0 // of each later one
 
-	// busyFactor is "well above the mean" within a group: lower evens out load
-	// of unlike backends, higher keeps the rotation even.
-	busyFactor = 1.25
-	// How much more calls count on slow backends: spares choked ones against turns.
-	slowWeight = 2.0
+	busyFactor = 1.25 // "well above the mean" in a group: even load against even turns
+	slowWeight = 2.0  // how much more calls count on slow backends: spares choked ones
 
 	// "Well over the next group's": lower uses idle zones sooner, higher crosses less.
 	spillFactor = 1.5
@@ -49,12 +42,10 @@
 	retryShare = 0.1 // of first attempts may be repeated after they may have run
 	retryBurst = 10  // as many repeats may be saved up
 
-	// A backend is ejected when its failure share is over ejectShare and
-	// ejectFactor times its peers' mean: quick to drop the bad one, deaf to
-	// failures that all share. failureWeight is the weight of one outcome.
-	ejectShare    = 0.3
-	ejectFactor   = 2.0
-	failureWeight = 0.2
+	// Quick to drop the bad one, deaf to failures that all share.
+	ejectShare    = 0.3 // the failure share from which a backend is ejected
+	ejectFactor   = 2.0 // if it is over this multiple of its peers' mean
+	failureWeight = 0.2 // of one outcome
 	ejectMost     = 0.5 // never eject more than this share of the backends
 	ejectPatience = 0.5 // the first ejection, as a share of the longest deadline
 	ejectGrowth   = 3   // doublings by failed trials
@@ -62,22 +53,19 @@
 	// strainTarget is the mean latency, as a share of the aim, where the limit on calls
 	// in flight settles: lower refuses work that fits, higher fills queues.
 	strainTarget    = 0.25
-	strainMost      = 1.0 // one very late call counts no more than this
-	limitStep       = 0.3 // speed of the limit's correction
-	limitInUse      = 0.5 // share of the limit in flight from which it is corrected
-	limitLeast      = 0.7 // share of the first limit that it keeps: no queue comes of that
-	limitPerBackend = 5.0 // at the start, over all balancers: busy without a queue
-	// limitLowest is the part of the limit for work worth next to nothing.
-	limitLowest = 0.75
+	strainMost      = 1.0  // one very late call counts no more than this
+	limitStep       = 0.3  // speed of the limit's correction
+	limitInUse      = 0.5  // share of the limit in flight from which it is corrected
+	limitLeast      = 0.7  // share of the first limit that it keeps: no queue comes of that
+	limitPerBackend = 5.0  // at the start, over all balancers: busy without a queue
+	limitLowest     = 0.75 // the part of the limit for work worth next to nothing
+	saveMost        = 2.0  // calls that may be saved up or owed: covers chance, not a flood
 
 	comeBackShare = 0.25 // of its aim is what a refused client is told to wait
 	coldCaution   = 1.5  // divides a cold backend's part: it may be a slow one, too
 	fullPause     = 0.5  // mean latencies of the class that a full backend is left alone
-	fullGrowth    = 4    // doublings while it stays full
 
-	// staleShare of outcomes broken is where idle connections are taken for stale;
-	// lower opens more new ones, higher lets more calls break.
-	staleShare = 0.02
+	staleShare = 0.02 // of outcomes broken: idle connections are taken for stale
 
 	askShare = 0.05 // of the ask-within time: the first wait to ask again
 )
@@ -104,6 +92,9 @@
 	retryTokens float64
 	broken      float64 // share of recent outcomes
 	lastSend    Time
+	saved       float64 // calls that the limit left unused lately
+	settled     Time    // when saved was reckoned
+	hold        float64 // mean latency over all classes
 	sendGap     float64 // mean time between sends
 }
 
@@ -116,7 +107,7 @@
 
 type group struct {
 	members []*backend
-	next    int // rotation
+	turn    float64 // of the last one in rotation
 }
 
 type backend struct {
@@ -128,10 +119,10 @@
 	ejected  int     // ejections in a row; 0: in use
 	trialAt  Time
 	trialOut bool
-	sent     Time // last
-	paused   Time // full lately: until then
-	fulls    int  // in a row
-	gone     bool // no longer listed
+	turn     float64 // when the next is, by the group's count
+	sent     Time    // last
+	paused   Time    // full lately: until then
+	gone     bool    // no longer listed
 }
 
 type request struct {
@@ -180,6 +171,7 @@
 	q := &request{Request: r, deadline: now + r.Budget}
 	b.requests[r.ID] = q
 	b.classes[r.Class].meet(r.Budget)
+	b.hold = cmp.Or(b.hold, b.classes[r.Class].cost)
 	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
 	if !b.admit(now, q) {
 		b.giveUp(q)
@@ -196,18 +188,25 @@
 	if b.set.Tier > 0 {
 		return true
 	}
-	best := 0.0
+	best := 1e-9
 	for i := range b.classes {
-		if b.classes[i].cost > 0 { // was ever seen
-			best = max(best, b.classes[i].value())
-		}
-	}
-	part := 1.0
-	if best > 0 {
-		part = limitLowest + (1-limitLowest)*b.classes[q.Class].value()/best
-	}
-	calls, size := b.working(now)
-	return calls < max(1, part*b.limit*size)
+		best = max(best, b.classes[i].value())
+	}
+	value := b.classes[q.Class].value() / best
+	calls, size := b.settle(now)
+	limit := (limitLowest + (1-limitLowest)*value) * b.limit * size
+	return calls < limit+b.saved+saveMost*value
+}
+
+// settle keeps account of what the limit left unused, in calls of mean length.
+// Guards against a limit of about one call, as each of many balancers has, that
+// refuses by chance what the fleet has room for: it feels the mean over time.
+func (b *Balancer) settle(now Time) (calls, size float64) {
+	calls, size = b.working(now)
+	b.saved += (b.limit*size - calls) * float64(now-b.settled) / max(b.hold, 1)
+	b.saved = max(-saveMost-1, min(saveMost, b.saved))
+	b.settled = now
+	return calls, size
 }
 
 // working counts the calls in flight on backends in use and these backends'
@@ -223,10 +222,8 @@
 	return calls, size
 }
 
-// value is the worth for each unit of time.
-func (c *class) value() float64 {
-	return c.Worth / max(c.cost, 1)
-}
+// value is the worth for each unit of time; next to 0 until the class is seen.
+func (c *class) value() float64 { return c.Worth / cmp.Or(c.cost, math.MaxFloat64) }
 
 // available is the time really left for waits and attempts.
 func (q *request) available(now Time) time.Duration {
@@ -262,6 +259,7 @@
 	b.sendGap += meanWeight * (float64(now-b.lastSend) - b.sendGap)
 	b.lastSend = now
 	to.sent = now
+	b.settle(now)
 	trial := to.ejected > 0
 	to.trialOut = to.trialOut || trial
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial})
@@ -296,7 +294,7 @@
 		return b.rotate(now, q, slices.MinFunc(open, least))
 	}
 	i := 0
-	for i+1 < len(healthy) && healthy[i].load(0) > spillFactor*healthy[i+1].load(0)+spillMargin {
+	for i+1 < len(healthy) && healthy[i].load() > spillFactor*healthy[i+1].load()+spillMargin {
 		i++
 	}
 	return b.rotate(now, q, healthy[i])
@@ -322,27 +320,48 @@
 	return float64(now-m.sent) < b.sendGap*size*coldCaution/(m.Size*warmth)
 }
 
-// rotate walks the group from the last turn, skipping the well above mean.
+// rotate gives the call to the member whose turn is next, skipping the well above
+// mean. Turns come as often as a member's size and speed say; one passed over is lost.
 func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
-	most := busyFactor * g.load(1)
-	var idlest *backend
-	least := 0.0
-	for i := range g.members {
-		at := (g.next + i) % len(g.members)
-		m := g.members[at]
-		if !b.usable(now, q, m) {
-			continue
-		}
-		load := b.loadWith(now, m)
-		if load <= most {
-			g.next = at + 1
-			return m
+	var next *backend
+	spare := false // next is well above the mean
+	t := tallyOf(g.members)
+	for _, m := range g.members {
+		usable, busy := b.usable(now, q, m), b.busy(now, m, t)
+		if (busy || !usable) && m.turn <= g.turn {
+			m.turn = g.turn + b.pace(now, m)
 		}
-		if idlest == nil || load < least {
-			idlest, least = m, load
+		if usable && (next == nil || spare && !busy || spare == busy && m.turn < next.turn) {
+			next, spare = m, busy
 		}
 	}
-	return idlest
+	if next != nil {
+		g.turn = max(g.turn, next.turn)
+		next.turn = g.turn + b.pace(now, next)
+	}
+	return next
+}
+
+// busy tells whether m, with one more call, is well above the mean. A slow one's
+// calls count for more, a departure: as many in flight as its peers have would make
+// most of them late, and one that has choked must come near to rest to recover.
+func (b *Balancer) busy(now Time, m *backend, t tally) bool {
+	size := m.Size
+	if m.inFlight == 0 { // guards against small ones that a few calls never reach
+		size = max(size, t.size/t.count)
+	}
+	return float64(m.inFlight+1)*(1+slowWeight*b.excess(now, m))/size > busyFactor*t.load(1)
+}
+
+// pace is what a turn costs m: the larger, the later the next one.
+func (b *Balancer) pace(now Time, m *backend) float64 {
+	return (1 + b.excess(now, m)) / m.Size
+}
+
+// excess is by how much m is slower than its classes' means. What it was counts
+// less with time, so that it is tried again.
+func (b *Balancer) excess(now Time, m *backend) float64 {
+	return max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/float64(b.patience))
 }
 
 // dueTrial finds an ejected backend whose trial call is due. A trial may fail,
@@ -373,6 +392,8 @@
 	return best
 }
 
+func (g *group) load() float64 { return tallyOf(g.members).load(0) }
+
 // failing is the share of the group that is out of use.
 func (g *group) failing() float64 {
 	out := 0
@@ -384,29 +405,25 @@
 	return float64(out) / float64(len(g.members))
 }
 
-// load is the mean of own calls in flight for each unit of size, with more calls
-// added to each backend.
-func (g *group) load(more int) float64 {
-	calls, size := 0, 0.0
-	for _, m := range g.members {
+// A tally sums up the backends in use.
+type tally struct{ count, calls, size float64 }
+
+func tallyOf(members []*backend) (t tally) {
+	for _, m := range members {
 		if m.State == Up && m.ejected == 0 {
-			calls += m.inFlight + more
-			size += m.Size
+			t.count++
+			t.calls += float64(m.inFlight)
+			t.size += m.Size
 		}
 	}
-	return float64(calls) / max(size, 1e-9)
+	return t
 }
 
-func (m *backend) load() float64 { return float64(m.inFlight) / m.Size }
+// load is the mean of own calls in flight for each unit of size, with more calls
+// added to each backend.
+func (t tally) load(more float64) float64 { return (t.calls + more*t.count) / max(t.size, 1e-9) }
 
-// loadWith is m's load with one more call. A slow backend's calls count for
-// more, a departure: as many calls in flight as its peers have would make most
-// of them late, and one that has choked must come near to rest to recover. What
-// it was counts less with time, so that it is tried again.
-func (b *Balancer) loadWith(now Time, m *backend) float64 {
-	excess := max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/float64(b.patience))
-	return float64(m.inFlight+1) / m.Size * (1 + slowWeight*excess)
-}
+func (m *backend) load() float64 { return float64(m.inFlight) / m.Size }
 
 // warmth is the share of its capacity that a backend surely has.
 func (m *backend) warmth(now Time, set *Settings) float64 {
@@ -426,6 +443,7 @@
 	a := &q.attempts[o.Attempt]
 	a.ended = true
 	a.notRun = o.Result == Full || o.Result == NoConnect || o.Result == NeverSent
+	b.settle(now)
 	q.out--
 	a.to.inFlight--
 	b.learnFrom(now, q, a, o)
@@ -458,11 +476,8 @@
 // together every allowance is short and retries would burn what is left. Only
 // attempts after one that may have been worked on count.
 func (b *Balancer) spendRetry(last *attempt) bool {
-	if last.notRun {
-		return true
-	}
-	if b.retryTokens < 1 {
-		return false
+	if last.notRun || b.retryTokens < 1 {
+		return last.notRun
 	}
 	b.retryTokens--
 	return true
@@ -587,6 +602,7 @@
 		}
 	}
 	if o.Result == OK || o.Result == TimedOut {
+		b.hold += meanWeight * (float64(o.Latency) - b.hold)
 		a.to.slowness += failureWeight * (float64(o.Latency)/c.cost - a.to.slowness)
 		a.to.heard = now
 		b.correctLimit(now, float64(o.Latency)/float64(max(c.Aim, 1)))
@@ -646,11 +662,12 @@
 	}
 	switch r {
 	case OK:
-		m.fulls = 0
 	case Error, TimedOut, NoConnect, Broken:
 		failed = 1
 	case Full:
-		b.pause(now, m, c)
+		// Guards against one that turns calls away at once: with few in flight it
+		// would draw the most. It may drain without our having heard.
+		m.paused = now + b.jitter(time.Duration(fullPause*c.cost))
 		return
 	default:
 		return
@@ -668,14 +685,6 @@
 	}
 }
 
-// pause leaves a full backend alone for a while, a departure: it turns calls
-// away at once, and so has few in flight and would draw the most.
-func (b *Balancer) pause(now Time, m *backend, c *class) {
-	wait := b.jitter(time.Duration(fullPause*c.cost) << min(m.fulls, fullGrowth))
-	m.fulls++
-	m.paused = now + wait
-}
-
 func (b *Balancer) eject(now Time, m *backend) {
 	wait := b.patience << min(m.ejected, ejectGrowth)
 	m.ejected++
@@ -753,25 +762,18 @@
 	slices.SortFunc(b.listed, func(x, y *backend) int {
 		return cmp.Or(rank(x)-rank(y), cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.ID, y.ID))
 	})
-	old := b.groups
 	b.groups = nil
 	for i, m := range b.listed {
 		if i == 0 || m.Zone != b.listed[i-1].Zone {
-			b.groups = append(b.groups, newGroup(m.Zone, old, b.rng))
+			b.groups = append(b.groups, &group{})
 		}
 		g := b.groups[len(b.groups)-1]
-		g.members = append(g.members, m)
-	}
-}
-
-// newGroup goes on with the old rotation of its zone, or starts one at random.
-func newGroup(zone string, old []*group, rng *rand.Rand) *group {
-	for _, g := range old {
-		if g.members[0].Zone == zone {
-			return &group{next: g.next}
+		if m.turn == 0 { // from a random start
+			m.turn = g.turn + b.rng.Float64()/m.Size
 		}
+		g.turn = max(g.turn, m.turn-1/m.Size)
+		g.members = append(g.members, m)
 	}
-	return &group{next: rng.IntN(1 << 16)}
 }
 
 // ListFailed takes that asking failed or the watch broke: ask again, later and
