First call to a cold backend waits for a random part of its spacing

Also, the spacing went by calls sent, so that in a fleet of cold backends only, each call put off made the next one wait longer.

Change: the first call waits for a random part of the spacing; spacing goes by calls wanted.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -91,11 +91,11 @@
 	firstLimit  float64
 	retryTokens float64
 	broken      float64 // share of recent outcomes
-	lastSend    Time
+	lastCall    Time    // sent, or not for want of a backend
 	saved       float64 // calls that the limit left unused lately
 	settled     Time    // when saved was reckoned
 	hold        float64 // mean latency over all classes
-	sendGap     float64 // mean time between sends
+	gap         float64 // mean time between such calls
 }
 
 type class struct {
@@ -120,7 +120,8 @@
 	trialAt  Time
 	trialOut bool
 	turn     float64 // when the next is, by the group's count
-	sent     Time    // last
+	sent     Time    // last, or when it was first heard of
+	spacing  float64 // what part of the spacing of cold calls must pass after that
 	paused   Time    // full lately: until then
 	gone     bool    // no longer listed
 }
@@ -150,7 +151,7 @@
 		backends: map[string]*backend{},
 		requests: map[string]*request{},
 		wakes:    map[uint64]*request{},
-		lastSend: now,
+		lastCall: now,
 	}
 	longest := time.Duration(0)
 	for _, c := range set.Classes {
@@ -159,7 +160,7 @@
 	}
 	b.patience = time.Duration(ejectPatience * float64(longest))
 	b.askWait = time.Duration(askShare * float64(set.AskWithin))
-	b.sendGap = float64(b.patience)
+	b.gap = float64(b.patience)
 	if set.AskForList {
 		act.Wake(listToken, b.jitter(b.askWait)) // all start together; don't ask together
 	}
@@ -238,6 +239,8 @@
 		b.giveUp(q)
 		return
 	}
+	b.gap += meanWeight * (float64(now-b.lastCall) - b.gap)
+	b.lastCall = now
 	if to := b.pick(now, q); to != nil {
 		b.send(now, q, to, b.timeout(now, q, allowance))
 	} else {
@@ -256,9 +259,7 @@
 }
 
 func (b *Balancer) send(now Time, q *request, to *backend, timeout time.Duration) {
-	b.sendGap += meanWeight * (float64(now-b.lastSend) - b.sendGap)
-	b.lastSend = now
-	to.sent = now
+	to.sent, to.spacing = now, 1
 	b.settle(now)
 	trial := to.ejected > 0
 	to.trialOut = to.trialOut || trial
@@ -310,14 +311,16 @@
 	return m.State == Up && !m.gone && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
 }
 
-// tooSoon spaces the calls to a cold backend at its part of a warm one's rate.
+// tooSoon spaces the calls to a cold backend at its part of a warm one's rate. The
+// first waits for a random part of that: guards against hundreds of balancers that
+// learn of a newcomer together and each send it one call.
 func (b *Balancer) tooSoon(now Time, m *backend) bool {
 	warmth := m.warmth(now, &b.set)
-	if warmth == 1 || m.sent == 0 {
+	if warmth == 1 {
 		return false
 	}
 	_, size := b.working(now)
-	return float64(now-m.sent) < b.sendGap*size*coldCaution/(m.Size*warmth)
+	return float64(now-m.sent) < m.spacing*b.gap*size*coldCaution/(m.Size*warmth)
 }
 
 // rotate gives the call to the member whose turn is next, skipping the well above
@@ -343,8 +346,7 @@
 }
 
 // busy tells whether m, with one more call, is well above the mean. A slow one's
-// calls count for more, a departure: as many in flight as its peers have would make
-// most of them late, and one that has choked must come near to rest to recover.
+// calls count for more, a departure: one that choked must come near to rest to recover.
 func (b *Balancer) busy(now Time, m *backend, t tally) bool {
 	size := m.Size
 	if m.inFlight == 0 { // guards against small ones that a few calls never reach
@@ -384,7 +386,7 @@
 	var best *backend
 	for _, m := range b.listed {
 		better := best == nil || m.failures < best.failures ||
-			m.failures == best.failures && m.load() < best.load()
+			m.failures == best.failures && m.inFlight < best.inFlight
 		if better && now >= m.paused && b.allowed(now, q, m) {
 			best = m
 		}
@@ -423,8 +425,6 @@
 // added to each backend.
 func (t tally) load(more float64) float64 { return (t.calls + more*t.count) / max(t.size, 1e-9) }
 
-func (m *backend) load() float64 { return float64(m.inFlight) / m.Size }
-
 // warmth is the share of its capacity that a backend surely has.
 func (m *backend) warmth(now Time, set *Settings) float64 {
 	if m.Started == 0 || set.WarmWithin == 0 || now-m.Started >= set.WarmWithin {
@@ -639,9 +639,8 @@
 	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
-// correctLimit moves the limit until the mean strain is on target, but only while
-// it is in use: else a quiet hour's few late answers would close it, or its many
-// early ones open it to a flood.
+// correctLimit moves the limit until the mean strain is on target, but only while it
+// is in use: else a quiet hour would close it, or open it to a flood.
 func (b *Balancer) correctLimit(now Time, strain float64) {
 	calls, size := b.working(now)
 	if calls+1 > limitInUse*b.limit*size {
@@ -712,7 +711,7 @@
 		m.gone = m.gone || full
 	}
 	for _, l := range lines {
-		b.update(l)
+		b.update(now, l)
 	}
 	b.regroup()
 	if b.limit == 0 && len(b.listed) > 0 {
@@ -725,17 +724,18 @@
 	}
 }
 
-func (b *Balancer) update(l Backend) {
+func (b *Balancer) update(now Time, l Backend) {
 	if l.Size <= 0 {
 		l.Size = 1
 	}
 	m := b.backends[l.ID]
 	if m == nil {
-		m = &backend{}
+		m = &backend{sent: now, spacing: b.rng.Float64()}
 		b.backends[l.ID] = m
 		b.listed = append(b.listed, m)
 	} else if l.Started != m.Started { // restarted: nothing learned holds
 		m.failures, m.ejected, m.slowness = 0, 0, 0
+		m.sent, m.spacing = now, b.rng.Float64()
 	}
 	m.Backend = l
 	m.gone = l.State == Removed
