Each of many balancers goes round a part of its group; turns by speed

Change: an arc of the group's sizes for each balancer, by its number, so that five balancers reach each backend and each reaches three at least; turns by the speed last seen; a cold backend's part by what the balancer's calls are spread over.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -125,6 +125,7 @@
 		Zones:       s.Zones,
 		Tier:        s.Stage,
 		Balancers:   s.Balancers,
+		Me:          s.Me,
 		MaxAttempts: s.Limits.MaxAttempts,
 		AskForList:  s.Discovery == "on_request",
 		AskWithin:   duration(s.Rules.AskWithin),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,6 +70,7 @@
 	} `json:"rules"`
 	Stage     int `json:"stage"`
 	Balancers int `json:"balancers"`
+	Me        int `json:"me"`
 }
 
 // An Action is one line of a reply.
--- a/logic/api.go
+++ b/logic/api.go
@@ -51,6 +51,7 @@
 	Classes     []Class
 	Tier        int // the tier it sends into; 0 faces the clients
 	Balancers   int // how many balancers send into this tier
+	Me          int // this balancer's number among them, from 0
 	MaxAttempts int
 	MaxComeBack time.Duration // longest come-back time clients obey; 0: none
 	AskForList  bool          // list changes come only once asked for
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,15 +28,18 @@
 	// time-out: the tier below most likely ran out of the time we passed on.
 	lateError = 0.5
 
-	// Backoff: time for a backend to recover against time for the attempt.
-	backoffShare  = 0.1 // of the allowance, the first one
+	backoffShare  = 0.1 // of the allowance: time to recover against time for attempts
 	backoffGrowth = 2.0 // of each later one
 
+	// A balancer's part of a group: all even in sum against meeting each one often.
+	reachBalancers = 5.0 // that reach each backend
+	reachLeast     = 3.0 // backends that each balancer reaches
+
 	busyFactor = 1.25 // "well above the mean" in a group: even load against even turns
 	slowWeight = 2.0  // how much more calls count on slow backends: spares choked ones
+	paceLeast  = 0.3  // of the mean latency: faster ones get no more turns for it
 
-	// "Well over the next group's": lower uses idle zones sooner, higher crosses less.
-	spillFactor = 1.5
+	spillFactor = 1.5 // "well over the next group's": idle zones used against crossings
 	spillMargin = 1.0
 
 	retryShare = 0.1 // of first attempts may be repeated after they may have run
@@ -120,6 +123,8 @@
 	trialAt  Time
 	trialOut bool
 	turn     float64 // when the next is, by the group's count
+	group    *group
+	part     float64 // of its size that is within this balancer's reach
 	sent     Time    // last, or when it was first heard of
 	spacing  float64 // what part of the spacing of cold calls must pass after that
 	paused   Time    // full lately: until then
@@ -194,33 +199,20 @@
 		best = max(best, b.classes[i].value())
 	}
 	value := b.classes[q.Class].value() / best
-	calls, size := b.settle(now)
-	limit := (limitLowest + (1-limitLowest)*value) * b.limit * size
-	return calls < limit+b.saved+saveMost*value
+	t := b.settle(now)
+	limit := (limitLowest + (1-limitLowest)*value) * b.limit * t.warm
+	return t.calls < limit+b.saved+saveMost*value
 }
 
 // settle keeps account of what the limit left unused, in calls of mean length.
 // Guards against a limit of about one call, as each of many balancers has, that
 // refuses by chance what the fleet has room for: it feels the mean over time.
-func (b *Balancer) settle(now Time) (calls, size float64) {
-	calls, size = b.working(now)
-	b.saved += (b.limit*size - calls) * float64(now-b.settled) / max(b.hold, 1)
+func (b *Balancer) settle(now Time) tally {
+	t := b.tally(now, b.listed)
+	b.saved += (b.limit*t.warm - t.calls) * float64(now-b.settled) / max(b.hold, 1)
 	b.saved = max(-saveMost-1, min(saveMost, b.saved))
 	b.settled = now
-	return calls, size
-}
-
-// working counts the calls in flight on backends in use and these backends'
-// size, cold ones in part. The limit is for each unit of that size, so that it
-// shrinks at once with a fleet that loses backends or starts them cold.
-func (b *Balancer) working(now Time) (calls, size float64) {
-	for _, m := range b.listed {
-		if m.State == Up && m.ejected == 0 {
-			calls += float64(m.inFlight)
-			size += m.Size * m.warmth(now, &b.set)
-		}
-	}
-	return calls, size
+	return t
 }
 
 // value is the worth for each unit of time; next to 0 until the class is seen.
@@ -272,17 +264,19 @@
 	b.act.Send(q.ID, to.ID, timeout)
 }
 
-// pick chooses a backend: a trial that is due, or the next in rotation of the
-// first group that is neither failing nor well busier than the one after it.
+// pick chooses a trial that is due, or the next in rotation of the first group that is
+// neither failing nor well busier than the one after it.
 func (b *Balancer) pick(now Time, q *request) *backend {
 	if t := b.dueTrial(now, q); t != nil {
 		return t
 	}
 	var open, healthy []*group
+	failing := func(g *group) float64 { return 1 - b.tally(now, g.members).count/float64(len(g.members)) }
+	load := func(g *group) float64 { return b.tally(now, g.members).load(0) }
 	for _, g := range b.groups {
 		if slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) }) {
 			open = append(open, g)
-			if g.failing() <= 0.5 {
+			if failing(g) <= 0.5 {
 				healthy = append(healthy, g)
 			}
 		}
@@ -291,11 +285,11 @@
 		return b.leastFailing(now, q)
 	}
 	if len(healthy) == 0 { // spread over the group: one backend alone would tip
-		least := func(x, y *group) int { return cmp.Compare(x.failing(), y.failing()) }
+		least := func(x, y *group) int { return cmp.Compare(failing(x), failing(y)) }
 		return b.rotate(now, q, slices.MinFunc(open, least))
 	}
 	i := 0
-	for i+1 < len(healthy) && healthy[i].load() > spillFactor*healthy[i+1].load()+spillMargin {
+	for i+1 < len(healthy) && load(healthy[i]) > spillFactor*load(healthy[i+1])+spillMargin {
 		i++
 	}
 	return b.rotate(now, q, healthy[i])
@@ -311,16 +305,17 @@
 	return m.State == Up && !m.gone && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
 }
 
-// tooSoon spaces the calls to a cold backend at its part of a warm one's rate. The
-// first waits for a random part of that: guards against hundreds of balancers that
-// learn of a newcomer together and each send it one call.
+// tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first
+// call by a random part of that: guards against hundreds of balancers that learn of a
+// newcomer together and each send it one at once.
 func (b *Balancer) tooSoon(now Time, m *backend) bool {
 	warmth := m.warmth(now, &b.set)
 	if warmth == 1 {
 		return false
 	}
-	_, size := b.working(now)
-	return float64(now-m.sent) < m.spacing*b.gap*size*coldCaution/(m.Size*warmth)
+	part := max(m.part, 1e-9) * warmth // out of reach: as good as never
+	spread := max(part, b.tally(now, m.group.members).reach)
+	return float64(now-m.sent) < m.spacing*b.gap*coldCaution*spread/part
 }
 
 // rotate gives the call to the member whose turn is next, skipping the well above
@@ -328,9 +323,9 @@
 func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
 	var next *backend
 	spare := false // next is well above the mean
-	t := tallyOf(g.members)
+	t := b.tally(now, g.members)
 	for _, m := range g.members {
-		usable, busy := b.usable(now, q, m), b.busy(now, m, t)
+		usable, busy := b.usable(now, q, m), m.part == 0 || b.busy(now, m, t)
 		if (busy || !usable) && m.turn <= g.turn {
 			m.turn = g.turn + b.pace(now, m)
 		}
@@ -345,8 +340,8 @@
 	return next
 }
 
-// busy tells whether m, with one more call, is well above the mean. A slow one's
-// calls count for more, a departure: one that choked must come near to rest to recover.
+// busy tells whether m, with one more call, is well above the mean. Calls on a slow one
+// count for more, a departure: one that choked must come near to rest to recover.
 func (b *Balancer) busy(now Time, m *backend, t tally) bool {
 	size := m.Size
 	if m.inFlight == 0 { // guards against small ones that a few calls never reach
@@ -355,9 +350,9 @@
 	return float64(m.inFlight+1)*(1+slowWeight*b.excess(now, m))/size > busyFactor*t.load(1)
 }
 
-// pace is what a turn costs m: the larger, the later the next one.
+// pace is what a turn costs m: the slower it was, the later the next one.
 func (b *Balancer) pace(now Time, m *backend) float64 {
-	return (1 + b.excess(now, m)) / m.Size
+	return max(paceLeast, m.slowness) / cmp.Or(m.part, m.Size)
 }
 
 // excess is by how much m is slower than its classes' means. What it was counts
@@ -385,37 +380,26 @@
 func (b *Balancer) leastFailing(now Time, q *request) *backend {
 	var best *backend
 	for _, m := range b.listed {
-		better := best == nil || m.failures < best.failures ||
-			m.failures == best.failures && m.inFlight < best.inFlight
-		if better && now >= m.paused && b.allowed(now, q, m) {
+		if now >= m.paused && b.allowed(now, q, m) && (best == nil || m.failures < best.failures) {
 			best = m
 		}
 	}
 	return best
 }
 
-func (g *group) load() float64 { return tallyOf(g.members).load(0) }
-
-// failing is the share of the group that is out of use.
-func (g *group) failing() float64 {
-	out := 0
-	for _, m := range g.members {
-		if m.State != Up || m.ejected > 0 {
-			out++
-		}
-	}
-	return float64(out) / float64(len(g.members))
-}
-
-// A tally sums up the backends in use.
-type tally struct{ count, calls, size float64 }
+// A tally sums up backends in use. The limit is for each unit of warm size, so that it
+// shrinks at once with a fleet that loses backends or starts them cold.
+type tally struct{ count, calls, size, warm, reach float64 }
 
-func tallyOf(members []*backend) (t tally) {
+func (b *Balancer) tally(now Time, members []*backend) (t tally) {
 	for _, m := range members {
 		if m.State == Up && m.ejected == 0 {
+			warmth := m.warmth(now, &b.set)
 			t.count++
 			t.calls += float64(m.inFlight)
 			t.size += m.Size
+			t.warm += m.Size * warmth
+			t.reach += m.part * warmth
 		}
 	}
 	return t
@@ -461,28 +445,25 @@
 	allowance := b.classes[q.Class].allowance
 	wait := allowance * backoffShare * math.Pow(backoffGrowth, float64(len(q.attempts)-1))
 	wait = float64(b.jitter(time.Duration(wait)))
-	fits := wait+allowance <= float64(q.available(now))
-	if len(q.attempts) >= b.set.MaxAttempts || !fits || !b.repeatable(now, q) || !b.spendRetry(last) {
+	fits := wait+allowance <= float64(q.available(now)) && len(q.attempts) < b.set.MaxAttempts
+	// The retry traffic budget, a departure: when all backends slow together every
+	// allowance is short, and retries would burn what is left. Only attempts after
+	// one that may have been worked on count.
+	price := 1.0
+	if last.notRun {
+		price = 0
+	}
+	if !fits || !b.repeatable(now, q) || b.retryTokens < price {
 		b.giveUp(q)
 		return
 	}
+	b.retryTokens -= price
 	b.token++
 	q.token = b.token
 	b.wakes[q.token] = q
 	b.act.Wake(q.token, time.Duration(wait))
 }
 
-// spendRetry is the retry traffic budget, a departure: when all backends slow
-// together every allowance is short and retries would burn what is left. Only
-// attempts after one that may have been worked on count.
-func (b *Balancer) spendRetry(last *attempt) bool {
-	if last.notRun || b.retryTokens < 1 {
-		return last.notRun
-	}
-	b.retryTokens--
-	return true
-}
-
 // Wake takes the end of a wait that was asked for.
 func (b *Balancer) Wake(now Time, token uint64) {
 	if token == listToken {
@@ -642,9 +623,9 @@
 // correctLimit moves the limit until the mean strain is on target, but only while it
 // is in use: else a quiet hour would close it, or open it to a flood.
 func (b *Balancer) correctLimit(now Time, strain float64) {
-	calls, size := b.working(now)
-	if calls+1 > limitInUse*b.limit*size {
-		step := limitStep * (strainTarget - min(strain, strainMost)) / max(size, 1)
+	t := b.tally(now, b.listed)
+	if t.calls+1 > limitInUse*b.limit*t.warm {
+		step := limitStep * (strainTarget - min(strain, strainMost)) / max(t.warm, 1)
 		if step < 0 { // who holds more gives back more, so that balancers even out
 			step *= b.limit / b.firstLimit
 		}
@@ -698,10 +679,8 @@
 			peers++
 		}
 	}
-	if float64(peers) < (1-ejectMost)*float64(len(b.listed)) {
-		return false
-	}
-	return m.failures > ejectShare && m.failures > ejectFactor*sum/float64(max(peers, 1))
+	return float64(peers) >= (1-ejectMost)*float64(len(b.listed)) &&
+		m.failures > ejectShare && m.failures > ejectFactor*sum/float64(max(peers, 1))
 }
 
 // List takes news of the backends: the full list, or changed lines only.
@@ -714,12 +693,8 @@
 		b.update(now, l)
 	}
 	b.regroup()
-	if b.limit == 0 && len(b.listed) > 0 {
-		size := 0.0
-		for _, m := range b.listed {
-			size += m.Size
-		}
-		b.firstLimit = limitPerBackend * float64(len(b.listed)) / size / float64(max(b.set.Balancers, 1))
+	if t := b.tally(now, b.listed); b.limit == 0 && t.size > 0 {
+		b.firstLimit = limitPerBackend * t.count / t.size / float64(max(b.set.Balancers, 1))
 		b.limit = b.firstLimit
 	}
 }
@@ -730,11 +705,11 @@
 	}
 	m := b.backends[l.ID]
 	if m == nil {
-		m = &backend{sent: now, spacing: b.rng.Float64()}
+		m = &backend{sent: now, spacing: b.rng.Float64(), slowness: 1}
 		b.backends[l.ID] = m
 		b.listed = append(b.listed, m)
 	} else if l.Started != m.Started { // restarted: nothing learned holds
-		m.failures, m.ejected, m.slowness = 0, 0, 0
+		m.failures, m.ejected, m.slowness = 0, 0, 1
 		m.sent, m.spacing = now, b.rng.Float64()
 	}
 	m.Backend = l
@@ -772,7 +747,30 @@
 			m.turn = g.turn + b.rng.Float64()/m.Size
 		}
 		g.turn = max(g.turn, m.turn-1/m.Size)
-		g.members = append(g.members, m)
+		g.members, m.group = append(g.members, m), g
+	}
+	for _, g := range b.groups {
+		b.reach(g)
+	}
+}
+
+// reach lays the group's sizes end to end on a ring and gives each balancer an arc
+// of it, a departure for balancers that far outnumber backends: going round them all,
+// each would meet one too seldom to tell that it is slow. Arcs are of one length and
+// start apart by the balancers' numbers, so that together they cover all evenly.
+func (b *Balancer) reach(g *group) {
+	const golden = 0.6180339887 // spreads whole numbers most evenly over a ring
+	total := 0.0
+	for _, m := range g.members {
+		total += m.Size
+	}
+	share := reachBalancers * float64(len(b.set.Zones)) / float64(max(1, b.set.Balancers))
+	arc := total * max(share, reachLeast/float64(len(g.members)))
+	at := -total * math.Mod(golden*float64(b.set.Me), 1)
+	for _, m := range g.members {
+		lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
+		m.part = min(m.Size, lap(at)+lap(at+total))
+		at += m.Size
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -449,7 +450,7 @@
 		var got []Time
 		for n := range balancers {
 			set := testSettings()
-			set.Seed, set.Tier, set.Balancers = uint64(n), 1, balancers
+			set.Seed, set.Tier, set.Balancers, set.Me = uint64(n), 1, balancers, n
 			b, f := start(set, zoneLines("b", 15)...)
 			rng := rand.New(rand.NewPCG(uint64(n), 2))
 			cold := line("b", 99)
@@ -1007,3 +1008,63 @@
 		}
 	}
 }
+
+// Guards against balancers that meet each backend too seldom to tell that it is
+// slow: many balancers each go round a part of the group, few round all of it,
+// and in sum all backends are reached by their size.
+func TestReachIsEvenInSum(t *testing.T) {
+	for _, balancers := range []int{1, 4, 60, 300} {
+		reached := map[string]float64{}
+		for n := range balancers {
+			set := testSettings()
+			set.Me, set.Balancers = n, balancers
+			lines := zoneLines("b", 30)
+			for i := range lines {
+				lines[i].Size = float64(1 + i%3)
+			}
+			b, _ := start(set, lines...)
+			for _, m := range b.listed {
+				if balancers <= 4 && m.part < 0.999*m.Size {
+					t.Errorf("one of %d balancers reaches %v of %v", balancers, m.part, m.Size)
+				}
+				reached[m.ID] += m.part / m.Size
+			}
+		}
+		least, most := math.Inf(1), 0.0
+		for _, r := range reached {
+			least, most = min(least, r), max(most, r)
+		}
+		if most > 1.3*least || balancers == 300 && most > 40 {
+			t.Errorf("%d balancers: backends are reached by %.1f to %.1f of them", balancers, least, most)
+		}
+	}
+}
+
+// Guards against a slow backend that keeps an equal part of the calls of many
+// balancers, each of which meets it so seldom that it has forgotten.
+func TestManyBalancersLeaveASlowBackend(t *testing.T) {
+	got := map[string]int{}
+	const balancers, perSecond = 100, 5
+	for n := range balancers {
+		set := testSettings()
+		set.Me, set.Seed, set.Tier, set.Balancers, set.Zones = n, uint64(n), 1, balancers, []string{"b"}
+		b, f := start(set, zoneLines("b", 20)...)
+		rng := rand.New(rand.NewPCG(uint64(n), 3))
+		for now := Time(0); now < 20*1000*ms; {
+			now += time.Duration(rng.ExpFloat64() / perSecond * float64(1000*ms))
+			id := fmt.Sprint("r", int64(now))
+			b.Arrive(now, Request{ID: id, Class: unsafe, Budget: 2000 * ms})
+			to, latency := f.last(t).backend, 50*ms
+			if to == "b3" {
+				latency = 200 * ms
+			}
+			if now > 5*1000*ms {
+				got[to]++
+			}
+			b.Done(now+latency, Outcome{Request: id, Result: OK, Latency: latency, Final: true})
+		}
+	}
+	if got["b3"] == 0 || got["b3"] > got["b10"]/2 {
+		t.Errorf("the backend four times slower got %d calls, another %d", got["b3"], got["b10"])
+	}
+}
