Allowances start with two attempts in view; mean latency starts from answers

Cause: with hundreds of balancers each learns alone.

Change: the allowance starts at 0.35 of the first budget (two attempts and a backoff fit) and moves in steps twice as large; the mean latency is the plain mean of the first answers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,9 +20,9 @@
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
 	allowanceRank    = 0.995
-	allowanceStep    = 0.1  // how fast it follows against how much it jitters
+	allowanceStep    = 0.2  // how fast it follows against how much it jitters
 	allowanceFloor   = 0.02 // share of the class's deadline; below it lies noise
-	allowanceStart   = 0.25 // share of the first budget seen, before any sample
+	allowanceStart   = 0.35 // share of the first budget seen: two attempts fit
 	allowanceCeiling = 0.7  // share of the usual budget; above it too little fits
 	// lateError is the share of the allowance after which an error counts as a
 	// time-out: the tier below most likely ran out of the time we passed on.
@@ -31,8 +31,7 @@
 	backoffShare  = 0.1 // of the allowance: time to recover against time for attempts
 	backoffGrowth = 2.0 // of each later one
 
-	// A balancer's part of a group: all even in sum against meeting each one often.
-	reachBalancers = 5.0 // that reach each backend
+	reachBalancers = 5.0 // that reach each backend: even in sum against meeting it often
 	reachLeast     = 3.0 // backends that each balancer reaches
 
 	busyFactor = 1.25 // "well above the mean" in a group: even load against even turns
@@ -45,9 +44,8 @@
 	retryShare = 0.1 // of first attempts may be repeated after they may have run
 	retryBurst = 10  // as many repeats may be saved up
 
-	// Quick to drop the bad one, deaf to failures that all share.
 	ejectShare    = 0.3 // the failure share from which a backend is ejected
-	ejectFactor   = 2.0 // if it is over this multiple of its peers' mean
+	ejectFactor   = 2.0 // if over this multiple of its peers': deaf to failures that all share
 	failureWeight = 0.2 // of one outcome
 	ejectMost     = 0.5 // never eject more than this share of the backends
 	ejectPatience = 0.5 // the first ejection, as a share of the longest deadline
@@ -105,6 +103,7 @@
 	Class
 	allowance float64
 	cost      float64 // mean latency of an answer
+	answers   float64
 	budget    float64 // mean budget
 }
 
@@ -574,7 +573,8 @@
 	switch o.Result {
 	case OK:
 		c.learn(float64(o.Latency))
-		c.cost += meanWeight * (float64(o.Latency) - c.cost)
+		c.answers++ // the first ones count for more: what cost began with is no latency
+		c.cost += max(meanWeight, 1/c.answers) * (float64(o.Latency) - c.cost)
 	case TimedOut:
 		c.learn(c.allowance)
 	case Error: // guards against an allowance that only ever sees the quick ones
