--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,7 @@
 	limitLeast      = 0.7  // share of the first limit that it keeps: no queue comes of that
 	limitPerBackend = 5.0  // at the start, over all balancers: busy without a queue
 	limitLowest     = 0.75 // the part of the limit for work worth next to nothing
-	saveMost        = 2.0  // calls that may be saved up or owed: covers chance, not a flood
+	saveMost        = 3.0  // calls that may be saved up or owed: covers chance, not a flood
 
 	comeBackShare = 0.25 // of its aim is what a refused client is told to wait
 	coldCaution   = 1.5  // divides a cold backend's part: it may be a slow one, too
