--- /dev/null
+++ b/cmd/oxbowloft/main.go
@@ -0,0 +1,82 @@
+// Command oxbowloft is the load balancer on sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"oxbowloft/proxy"
+)
+
+var version = "0.1.0"
+
+func main() {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	root := &cobra.Command{
+		Use:           "oxbowloft",
+		Short:         "A load balancer for services that call services",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(serve(), check(), &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(*cobra.Command, []string) { fmt.Println("oxbowloft", version) },
+	})
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "oxbowloft:", err)
+		os.Exit(1)
+	}
+}
+
+func serve() *cobra.Command {
+	return &cobra.Command{
+		Use:   "serve [config.json]",
+		Short: "Balance until SIGTERM, as the configuration ($BALANCER_CONFIG) says",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			cfg, err := load(args)
+			if err != nil {
+				return err
+			}
+			cfg.Limits.Tune()
+			p, err := proxy.New(cfg)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			context.AfterFunc(ctx, stop) // a second signal ends the process
+			return p.Run(ctx)
+		},
+	}
+}
+
+func check() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check [config.json]",
+		Short: "Read the configuration and say what is wrong with it",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			_, err := load(args)
+			if err == nil {
+				fmt.Println("ok")
+			}
+			return err
+		},
+	}
+}
+
+func load(args []string) (*proxy.Config, error) {
+	path := os.Getenv("BALANCER_CONFIG")
+	if len(args) > 0 {
+		path = args[0]
+	}
+	return proxy.Load(path, os.Getenv)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"oxbowloft/internal/settings"
 	"oxbowloft/internal/wire"
 	"oxbowloft/logic"
 )
@@ -59,7 +60,7 @@
 // good until the next call.
 func (h *Host) Batch(b *wire.Batch) ([]wire.Action, error) {
 	h.actions = h.actions[:0]
-	now := duration(b.Time)
+	now := settings.Duration(b.Time)
 	for i := range b.Events {
 		if err := h.event(now, &b.Events[i]); err != nil {
 			return nil, fmt.Errorf("%s: %w", b.Events[i].Type, err)
@@ -90,7 +91,7 @@
 		if !ok {
 			return fmt.Errorf("unknown class %q", *e.Kind)
 		}
-		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: duration(*e.Budget)})
+		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: settings.Duration(*e.Budget)})
 	case "resolved":
 		return in.resolved(now, e)
 	case "lapsed":
@@ -105,7 +106,7 @@
 }
 
 func (h *Host) enlist(now logic.Time, e *wire.Event) error {
-	set, err := settings(*e.Seed, e.Setup)
+	set, err := e.Setup.Logic(*e.Seed)
 	if err != nil {
 		return err
 	}
@@ -118,47 +119,6 @@
 	return nil
 }
 
-func settings(seed uint64, s *wire.Setup) (logic.Settings, error) {
-	set := logic.Settings{
-		Seed:        seed,
-		Zone:        s.Zone,
-		Zones:       s.Zones,
-		Tier:        s.Stage,
-		Balancers:   s.Balancers,
-		Me:          s.Me,
-		MaxAttempts: s.Limits.MaxAttempts,
-		AskForList:  s.Discovery == "on_request",
-		AskWithin:   duration(s.Rules.AskWithin),
-		ColdShare:   s.Rules.ColdFrom,
-		WarmWithin:  duration(s.Rules.WarmWithin),
-	}
-	if s.Limits.RetryAfter {
-		set.MaxComeBack = duration(s.Limits.MaxRetryAfter)
-	}
-	repeats := map[string]logic.Repeat{"free": logic.Safe, "guarded": logic.Keyed, "single_shot": logic.Unsafe}
-	scopes := map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
-	for _, c := range s.Classes {
-		repeat, ok := repeats[c.Idempotency]
-		if !ok {
-			return set, fmt.Errorf("class %q: unknown idempotency %q", c.Name, c.Idempotency)
-		}
-		scope, ok := scopes[c.Group]
-		if !ok && repeat == logic.Keyed {
-			return set, fmt.Errorf("class %q: unknown group %q", c.Name, c.Group)
-		}
-		set.Classes = append(set.Classes, logic.Class{
-			Name:     c.Name,
-			Aim:      duration(c.Aim),
-			Deadline: duration(c.GiveUp),
-			Worth:    c.Worth,
-			Repeat:   repeat,
-			Scope:    scope,
-			Memory:   duration(c.Memory),
-		})
-	}
-	return set, nil
-}
-
 func (in *instance) list(now logic.Time, e *wire.Event) error {
 	if *e.Kind == "FAILED" {
 		in.balancer.ListFailed(now)
@@ -181,7 +141,7 @@
 		if !ok {
 			return fmt.Errorf("backend %s: unknown health %q", l.Backend, l.Health)
 		}
-		line := logic.Backend{ID: l.Backend, Zone: l.Zone, Cell: l.Cell, State: state, Started: duration(l.ReadyAt)}
+		line := logic.Backend{ID: l.Backend, Zone: l.Zone, Cell: l.Cell, State: state, Started: settings.Duration(l.ReadyAt)}
 		if l.Units != nil {
 			line.Size = *l.Units
 		}
@@ -201,7 +161,7 @@
 		Request: *e.Txn,
 		Attempt: e.Shot,
 		Result:  results[*e.Code],
-		Latency: duration(e.Latency),
+		Latency: settings.Duration(e.Latency),
 		Final:   e.Terminal,
 	})
 	return nil
@@ -214,12 +174,12 @@
 
 // Send implements logic.Actions.
 func (in *instance) Send(request, backend string, timeout time.Duration) {
-	in.act(wire.Action{Type: "pass-on", Txn: request, Backend: backend, AllowFor: milliseconds(timeout)})
+	in.act(wire.Action{Type: "pass-on", Txn: request, Backend: backend, AllowFor: settings.Milliseconds(timeout)})
 }
 
 // Refuse implements logic.Actions.
 func (in *instance) Refuse(request string, comeBack time.Duration) {
-	in.act(wire.Action{Type: "reject", Txn: request, ComeBack: milliseconds(comeBack)})
+	in.act(wire.Action{Type: "reject", Txn: request, ComeBack: settings.Milliseconds(comeBack)})
 }
 
 // Fail implements logic.Actions.
@@ -229,7 +189,7 @@
 
 // Wake implements logic.Actions.
 func (in *instance) Wake(token uint64, after time.Duration) {
-	in.act(wire.Action{Type: "schedule", Nonce: &token, Wait: milliseconds(after)})
+	in.act(wire.Action{Type: "schedule", Nonce: &token, Wait: settings.Milliseconds(after)})
 }
 
 // CloseIdle implements logic.Actions.
@@ -241,11 +201,3 @@
 func (in *instance) WatchList() {
 	in.act(wire.Action{Type: "observe", Enable: true})
 }
-
-func duration(ms float64) time.Duration {
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
-func milliseconds(d time.Duration) float64 {
-	return float64(d) / float64(time.Millisecond)
-}
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,285 @@
+// Package http1 reads HTTP/1.1 messages whole from a connection, for both sides
+// of a proxy. A Conn has one buffer, which grows as a message needs and is
+// compacted in place; http.ReadRequest and http.ReadResponse parse from it.
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Sizes of a message. What is larger ends as ErrTooLarge.
+const (
+	MaxHead = 16 << 10
+	MaxBody = 64 << 10
+
+	// maxMessage leaves a chunked body room for its framing.
+	maxMessage = MaxHead + 2*MaxBody
+	firstBuf   = 2 << 10
+	keptBuf    = 16 << 10 // a larger buffer is dropped when its messages are done
+)
+
+// Errors of a message; what else a read returns is the connection's own error.
+var (
+	ErrMalformed    = errors.New("malformed message")
+	ErrHeadTooLarge = errors.New("head too large")
+	ErrBodyTooLarge = errors.New("body too large")
+)
+
+// Conn is a connection with its buffer. Its methods are for one goroutine,
+// but for those of net.Conn.
+type Conn struct {
+	net.Conn
+	raw   syscall.RawConn
+	buf   []byte
+	start int // of what is not used up
+	pos   int // how far the parser has read
+	end   int // of what has come
+	err   error
+	watch chan struct{} // closed when the watch is over
+}
+
+// NewConn returns a Conn on nc.
+func NewConn(nc net.Conn) *Conn {
+	c := &Conn{Conn: nc}
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
+	}
+	return c
+}
+
+// Buffered is the number of bytes that have come and are not used up.
+func (c *Conn) Buffered() int { return c.end - c.start }
+
+// Await waits until a part of a message is in the buffer. The empty lines that
+// some senders put between messages are passed over.
+func (c *Conn) Await() error {
+	for {
+		for c.start < c.end && (c.buf[c.start] == '\r' || c.buf[c.start] == '\n') {
+			c.start++
+		}
+		if c.start < c.end {
+			return nil
+		}
+		if err := c.fill(); err != nil {
+			return err
+		}
+	}
+}
+
+// fill reads once from the connection into the buffer.
+func (c *Conn) fill() error {
+	if c.err != nil {
+		return c.err
+	}
+	if c.start == c.end {
+		c.start, c.pos, c.end = 0, 0, 0
+	}
+	if c.end == len(c.buf) {
+		if c.start > 0 {
+			copy(c.buf, c.buf[c.start:c.end])
+			c.pos, c.end, c.start = c.pos-c.start, c.end-c.start, 0
+		} else {
+			grown := make([]byte, max(firstBuf, 2*len(c.buf)))
+			copy(grown, c.buf[:c.end])
+			c.buf = grown
+		}
+	}
+	n, err := c.Conn.Read(c.buf[c.end:])
+	c.end += n
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// head waits until the whole head of a message is in the buffer.
+func (c *Conn) head() error {
+	if err := c.Await(); err != nil {
+		return err
+	}
+	for seen := 0; ; {
+		text := c.buf[c.start:c.end]
+		if headEnds(text, seen) {
+			return nil
+		}
+		if len(text) > MaxHead {
+			return ErrHeadTooLarge
+		}
+		seen = len(text)
+		if err := c.fill(); err != nil {
+			return inside(err)
+		}
+	}
+}
+
+// headEnds tells whether an empty line ends in text, of which the first seen
+// bytes were looked at before.
+func headEnds(text []byte, seen int) bool {
+	tail := text[max(0, seen-3):]
+	return bytes.Contains(tail, []byte("\n\r\n")) || bytes.Contains(tail, []byte("\n\n"))
+}
+
+// inside is the error of a read inside a message, where an end is no clean end.
+func inside(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// source feeds the parser from the buffer, and the buffer from the connection.
+// A message stays in the buffer until it is parsed, so that what the parser
+// read ahead of it can be given back.
+type source struct{ c *Conn }
+
+func (s source) Read(p []byte) (int, error) {
+	c := s.c
+	if c.pos == c.end {
+		if c.end-c.start > maxMessage {
+			c.err = ErrBodyTooLarge
+			return 0, c.err
+		}
+		if err := c.fill(); err != nil {
+			c.err = err
+			return 0, err
+		}
+	}
+	n := copy(p, c.buf[c.pos:c.end])
+	c.pos += n
+	return n, nil
+}
+
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+// parse runs read over the message at the start of the buffer, then uses it up.
+func (c *Conn) parse(read func(*bufio.Reader) ([]byte, error)) ([]byte, error) {
+	if err := c.head(); err != nil {
+		return nil, err
+	}
+	c.pos = c.start
+	br := readers.Get().(*bufio.Reader)
+	br.Reset(source{c})
+	body, err := read(br)
+	switch {
+	case err == nil:
+		c.start = c.pos - br.Buffered()
+	case c.err != nil:
+		err = inside(c.err)
+	case !errors.Is(err, ErrBodyTooLarge):
+		err = fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	br.Reset(nil)
+	readers.Put(br)
+	if c.start == c.end && len(c.buf) > keptBuf {
+		c.buf, c.start, c.pos, c.end = nil, 0, 0, 0
+	}
+	return body, err
+}
+
+// ReadRequest reads a request and its body whole. The error is io.EOF where the
+// connection ended between messages.
+func (c *Conn) ReadRequest() (req *http.Request, body []byte, err error) {
+	body, err = c.parse(func(br *bufio.Reader) ([]byte, error) {
+		if req, err = http.ReadRequest(br); err != nil {
+			return nil, err
+		}
+		if req.Header.Get("Expect") == "100-continue" && c.pos == c.end && br.Buffered() == 0 {
+			if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return nil, err
+			}
+		}
+		return readBody(req.Body, req.ContentLength)
+	})
+	return req, body, err
+}
+
+// ReadResponse reads the final answer to a request and its body whole.
+func (c *Conn) ReadResponse() (resp *http.Response, body []byte, err error) {
+	for {
+		body, err = c.parse(func(br *bufio.Reader) ([]byte, error) {
+			if resp, err = http.ReadResponse(br, nil); err != nil {
+				return nil, err
+			}
+			body, err := readBody(resp.Body, resp.ContentLength)
+			if c.err == io.EOF && err == nil { // the body that ends with its connection
+				resp.Close, c.err = true, nil
+			}
+			return body, err
+		})
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, body, err
+		}
+	}
+}
+
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if length > MaxBody {
+		return nil, ErrBodyTooLarge
+	}
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+	if len(body) > MaxBody {
+		return nil, ErrBodyTooLarge
+	}
+	return body, err
+}
+
+// Quiet tells whether an idle connection is still open with nothing to read, as
+// far as can be seen without waiting.
+func (c *Conn) Quiet() bool {
+	if c.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// Watch calls gone from a goroutine of its own if the peer ends the connection
+// before Unwatch. One more message may come meanwhile; it stays in the buffer,
+// and nothing is noticed after it. Where a watch stands, it goes on.
+func (c *Conn) Watch(gone func()) {
+	if c.watch != nil {
+		return
+	}
+	c.watch = make(chan struct{})
+	go func() {
+		defer close(c.watch)
+		var timeout net.Error
+		if err := c.fill(); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			c.err = err
+			gone()
+		}
+	}()
+}
+
+// Unwatch ends a watch, if there is one. gone is not called after it.
+func (c *Conn) Unwatch() {
+	if c.watch == nil {
+		return
+	}
+	c.SetReadDeadline(time.Unix(1, 0))
+	<-c.watch
+	c.watch = nil
+	c.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,227 @@
+// Package upstream holds the connections to one backend and makes single
+// exchanges on them. An exchange that fails says how far it came, since that
+// decides whether the backend may have run the request.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"oxbowloft/internal/http1"
+)
+
+// Stage is how far an exchange came.
+type Stage int
+
+// The stages of an exchange.
+const (
+	Unsent   Stage = iota // no connection to be had here: the budget is used up
+	Unopened              // not connected, or not wholly written
+	Written               // wholly written; it may have run
+	Answered              // an answer came, perhaps a malformed one
+)
+
+// Slots is the budget of descriptors that connections come from.
+type Slots interface {
+	Take() bool // without waiting
+	Give()
+}
+
+// Options are what the connections to all backends have in common.
+type Options struct {
+	DialTimeout time.Duration
+	IdleLimit   time.Duration // idle connections are closed by then
+	Slots       Slots
+}
+
+// Backend is one backend's address and the idle connections to it.
+type Backend struct {
+	Addr string
+	opt  *Options
+
+	mu     sync.Mutex
+	idle   []idle // oldest first
+	closed bool
+	opened uint64
+}
+
+type idle struct {
+	conn  *http1.Conn
+	since time.Time
+}
+
+// New returns a backend without connections.
+func New(addr string, opt *Options) *Backend { return &Backend{Addr: addr, opt: opt} }
+
+// Answer is what came back.
+type Answer struct {
+	Stage  Stage
+	Status int
+	Header http.Header
+	Body   []byte
+	Err    error // nil for an answer that came whole
+}
+
+// Timeout tells whether the exchange ended because its time was up.
+func (a *Answer) Timeout() bool {
+	var ne net.Error
+	return errors.As(a.Err, &ne) && ne.Timeout()
+}
+
+// Exchange sends one request, made by text with the time left for it, and reads
+// the answer, all before the deadline. It tries once: what fails is never sent
+// again by it. On return the connection is idle or closed.
+func (b *Backend) Exchange(deadline time.Time, text func(left time.Duration) []byte) Answer {
+	c, err := b.connect(deadline)
+	if err != nil {
+		if errors.Is(err, errNoSlot) {
+			return Answer{Stage: Unsent, Err: err}
+		}
+		return Answer{Stage: Unopened, Err: err}
+	}
+	c.SetDeadline(deadline)
+	if _, err := c.Write(text(time.Until(deadline))); err != nil {
+		b.discard(c)
+		return Answer{Stage: Unopened, Err: err}
+	}
+	resp, body, err := c.ReadResponse()
+	if err != nil {
+		b.discard(c)
+		stage := Written
+		if errors.Is(err, http1.ErrMalformed) || errors.Is(err, http1.ErrHeadTooLarge) ||
+			errors.Is(err, http1.ErrBodyTooLarge) {
+			stage = Answered
+		}
+		return Answer{Stage: stage, Err: err}
+	}
+	if resp.Close || c.Buffered() > 0 {
+		b.discard(c)
+	} else {
+		b.keep(c)
+	}
+	return Answer{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
+
+var errNoSlot = errors.New("no descriptor to spare")
+
+// connect takes the newest idle connection that is still open, or opens one.
+func (b *Backend) connect(deadline time.Time) (*http1.Conn, error) {
+	for {
+		c := b.newest()
+		if c == nil {
+			break
+		}
+		if c.Quiet() {
+			return c, nil
+		}
+		b.discard(c)
+	}
+	if !b.opt.Slots.Take() {
+		return nil, errNoSlot
+	}
+	d := net.Dialer{Deadline: deadline, Timeout: b.opt.DialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(context.Background(), "tcp", b.Addr)
+	if err != nil {
+		b.opt.Slots.Give()
+		return nil, err
+	}
+	b.mu.Lock()
+	b.opened++
+	b.mu.Unlock()
+	return http1.NewConn(nc), nil
+}
+
+func (b *Backend) newest() *http1.Conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.idle) - 1
+	if n < 0 {
+		return nil
+	}
+	last := b.idle[n]
+	b.idle[n] = idle{}
+	b.idle = b.idle[:n]
+	return last.conn
+}
+
+func (b *Backend) keep(c *http1.Conn) {
+	b.mu.Lock()
+	closed := b.closed
+	if !closed {
+		b.idle = append(b.idle, idle{c, time.Now()})
+	}
+	b.mu.Unlock()
+	if closed {
+		b.discard(c)
+	}
+}
+
+func (b *Backend) discard(c *http1.Conn) {
+	c.Close()
+	b.opt.Slots.Give()
+}
+
+// Reap closes the connections that have stood idle for most of the limit, so
+// that none is used which the backend is about to close.
+func (b *Backend) Reap(now time.Time) {
+	const most = 0.7
+	b.closeWhere(func(i idle) bool { return float64(now.Sub(i.since)) > most*float64(b.opt.IdleLimit) })
+}
+
+// CloseIdle closes all idle connections.
+func (b *Backend) CloseIdle() { b.closeWhere(func(idle) bool { return true }) }
+
+// Oldest is when the oldest idle connection became idle.
+func (b *Backend) Oldest() (since time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.idle) == 0 {
+		return since, false
+	}
+	return b.idle[0].since, true
+}
+
+// CloseOldest closes the oldest idle connection, if there is one.
+func (b *Backend) CloseOldest() bool {
+	first := true
+	return b.closeWhere(func(idle) bool { was := first; first = false; return was }) > 0
+}
+
+// Close closes the idle connections, and those in use once they become idle.
+func (b *Backend) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.CloseIdle()
+}
+
+// Opened is the number of connections opened so far.
+func (b *Backend) Opened() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.opened
+}
+
+func (b *Backend) closeWhere(which func(idle) bool) int {
+	var out []*http1.Conn
+	b.mu.Lock()
+	kept := b.idle[:0]
+	for _, i := range b.idle {
+		if which(i) {
+			out = append(out, i.conn)
+		} else {
+			kept = append(kept, i)
+		}
+	}
+	clear(b.idle[len(kept):])
+	b.idle = kept
+	b.mu.Unlock()
+	for _, c := range out {
+		b.discard(c)
+	}
+	return len(out)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"oxbowloft/internal/settings"
 )
 
 // An Event is one line of a batch. Which fields are set depends on Type; Read
@@ -25,13 +27,13 @@
 	Terminal bool     `json:"terminal"`
 	Budget   *float64 `json:"budget-ms"`
 
-	Nonce    *uint64   `json:"nonce"`
-	Ref      *int      `json:"ref"`
-	Elements []Element `json:"elements"`
-	Seed     *uint64   `json:"init-seed"`
-	Setup    *Setup    `json:"setup"`
-	Time     *float64  `json:"time-ms"`
-	Serial   *int64    `json:"serial"`
+	Nonce    *uint64          `json:"nonce"`
+	Ref      *int             `json:"ref"`
+	Elements []Element        `json:"elements"`
+	Seed     *uint64          `json:"init-seed"`
+	Setup    *settings.Object `json:"setup"`
+	Time     *float64         `json:"time-ms"`
+	Serial   *int64           `json:"serial"`
 }
 
 // Element is one line of a list of backends.
@@ -44,35 +46,6 @@
 	ReadyAt float64  `json:"ready-at-ms"`
 }
 
-// Setup is the part of an instance's settings that the project uses.
-type Setup struct {
-	Zone    string   `json:"az"`
-	Zones   []string `json:"zones"`
-	Classes []struct {
-		Name        string  `json:"name"`
-		Aim         float64 `json:"aim-ms"`
-		GiveUp      float64 `json:"give-up-ms"`
-		Group       string  `json:"group"`
-		Idempotency string  `json:"idempotency"`
-		Memory      float64 `json:"memory-span-ms"`
-		Worth       float64 `json:"worth"`
-	} `json:"classes"`
-	Discovery string `json:"discovery"`
-	Limits    struct {
-		MaxAttempts   int     `json:"max-attempts"`
-		MaxRetryAfter float64 `json:"max-retry-after-ms"`
-		RetryAfter    bool    `json:"retry-after"`
-	} `json:"limits"`
-	Rules struct {
-		AskWithin  float64 `json:"ask-within-ms"`
-		ColdFrom   float64 `json:"cold-from"`
-		WarmWithin float64 `json:"warm-within-ms"`
-	} `json:"rules"`
-	Stage     int `json:"stage"`
-	Balancers int `json:"balancers"`
-	Me        int `json:"me"`
-}
-
 // An Action is one line of a reply.
 type Action struct {
 	Type     string  `json:"type"`
--- /dev/null
+++ b/proxy/config.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+
+	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/settings"
+	"oxbowloft/logic"
+)
+
+// Config is all that a proxy is told at its start.
+type Config struct {
+	Name      string           `json:"name"`
+	Listen    string           `json:"listen"`
+	Discovery string           `json:"discovery"`
+	Seed      string           `json:"seed"` // hex; empty: a random one
+	Limits    Limits           `json:"limits"`
+	Known     *json.RawMessage `json:"known"`
+	Settings  *settings.Object `json:"settings"`
+
+	known *discovery.List
+	logic logic.Settings
+}
+
+// Limits are the machine's.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// What a configuration without limits is taken to say, and the least that a
+// proxy can work with.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 32
+)
+
+// Load reads the configuration file at path. What it lacks of name and
+// addresses comes from env, by the names BALANCER_NAME, BALANCER_LISTEN and
+// BALANCER_DISCOVERY.
+func Load(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("no configuration: BALANCER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for _, v := range []struct {
+		to   *string
+		name string
+	}{{&c.Name, "NAME"}, {&c.Listen, "LISTEN"}, {&c.Discovery, "DISCOVERY"}} {
+		if *v.to == "" {
+			*v.to = env("BALANCER_" + v.name)
+		}
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// check fills in defaults and tells what is wrong.
+func (c *Config) check() error {
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %w", a.name, err)
+		}
+	}
+	if c.Limits.MemoryMB == 0 {
+		c.Limits.MemoryMB = defaultMemoryMB
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	switch {
+	case c.Limits.Cores < 0:
+		return errors.New("limits: cores below zero")
+	case c.Limits.MemoryMB < 0:
+		return errors.New("limits: memory_mb below zero")
+	case c.Limits.Sockets < leastSockets:
+		return fmt.Errorf("limits: %d sockets, %d at least", c.Limits.Sockets, leastSockets)
+	case c.Settings == nil:
+		return errors.New("no settings")
+	case len(c.Settings.Classes) == 0:
+		return errors.New("settings: no classes")
+	case c.Settings.Limits.MaxAttempts < 1:
+		return errors.New("settings: limits: max-attempts below 1")
+	}
+	seed := rand.Uint64()
+	if c.Seed != "" {
+		var err error
+		if seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+			return fmt.Errorf("seed: %w", err)
+		}
+	}
+	c.known = &discovery.List{All: true}
+	if c.Known != nil {
+		var err error
+		if c.known, err = discovery.Parse(*c.Known); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+		c.known.All = true
+	}
+	var err error
+	if c.logic, err = c.Settings.Logic(seed); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
+
+// Tune sets the process up for the limits. It is for programs that are a proxy
+// and nothing else.
+func (l Limits) Tune() {
+	const heapShare = 0.6 // of the memory; the rest is stacks, sockets and files
+	debug.SetMemoryLimit(int64(heapShare * l.MemoryMB * (1 << 20)))
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), int(math.Ceil(l.Cores))))
+	}
+}
--- /dev/null
+++ b/proxy/driver.go
@@ -0,0 +1,236 @@
+package proxy
+
+import (
+	"log"
+	"strconv"
+	"sync"
+	"time"
+
+	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/upstream"
+	"oxbowloft/logic"
+)
+
+// clock turns times into the module's. Its zero is Unix time's, so that times
+// of starts that discovery tells fit in; it runs by the monotonic clock and so
+// never goes back.
+type clock struct{ start time.Time }
+
+func (c clock) now() logic.Time { return c.at(time.Now()) }
+
+func (c clock) at(t time.Time) logic.Time {
+	return logic.Time(c.start.UnixNano()) + t.Sub(c.start)
+}
+
+// driver alone calls the module: one call at a time, each with the time at
+// which it is made. It does no I/O under its lock: what the module asks for is
+// handed to the request it is for, or kept until the lock is free.
+type driver struct {
+	clock clock
+	opt   *upstream.Options
+	ask   func() // for a watch of the list
+	stats *stats
+
+	mu       sync.Mutex
+	balancer *logic.Balancer
+	calls    map[string]*call
+	backends map[string]*upstream.Backend
+	serial   uint64
+	later    []func()
+}
+
+// call is one request in the module's hands.
+type call struct {
+	id    string
+	sends int
+	steps chan step // room for one step and the client's going
+}
+
+type stepKind int
+
+const (
+	stepSend stepKind = iota
+	stepRefuse
+	stepFail
+	stepGone
+)
+
+// step is what the module wants next for a request.
+type step struct {
+	kind     stepKind
+	attempt  int
+	to       *upstream.Backend
+	sent     time.Time
+	timeout  time.Duration
+	comeBack time.Duration
+}
+
+func newDriver(cfg *Config, opt *upstream.Options, ask func(), st *stats) *driver {
+	d := &driver{
+		clock:    clock{time.Now()},
+		opt:      opt,
+		ask:      ask,
+		stats:    st,
+		calls:    map[string]*call{},
+		backends: map[string]*upstream.Backend{},
+	}
+	d.do(func(now logic.Time) { d.balancer = logic.New(now, cfg.logic, d) })
+	return d
+}
+
+// do makes one call to the module, then what must wait until the lock is free.
+func (d *driver) do(f func(now logic.Time)) {
+	d.mu.Lock()
+	f(d.clock.now())
+	later := d.later
+	d.later = nil
+	d.mu.Unlock()
+	for _, f := range later {
+		f()
+	}
+}
+
+// arrive hands a request to the module; its first step is ready on return.
+func (d *driver) arrive(class int, budget time.Duration) *call {
+	r := &call{steps: make(chan step, 2)}
+	d.do(func(now logic.Time) {
+		// The module gets ids of our own: a caller's might come twice.
+		d.serial++
+		r.id = strconv.FormatUint(d.serial, 36)
+		d.calls[r.id] = r
+		d.balancer.Arrive(now, logic.Request{ID: r.id, Class: class, Budget: budget})
+	})
+	return r
+}
+
+// done reports the end of an attempt. Unless it is final, a step follows.
+func (d *driver) done(r *call, s step, result logic.Result) {
+	d.do(func(now logic.Time) {
+		final := result == logic.OK
+		d.balancer.Done(now, logic.Outcome{
+			Request: r.id,
+			Attempt: s.attempt,
+			Result:  result,
+			Latency: now - d.clock.at(s.sent),
+			Final:   final,
+		})
+	})
+}
+
+// gone reports that a request's client has left.
+func (d *driver) gone(r *call) {
+	d.do(func(now logic.Time) {
+		d.balancer.Gone(now, r.id)
+		r.steps <- step{kind: stepGone}
+	})
+}
+
+// forget lets go of a request that has its answer.
+func (d *driver) forget(r *call) {
+	d.mu.Lock()
+	delete(d.calls, r.id)
+	d.mu.Unlock()
+}
+
+// list hands on news of the backends.
+func (d *driver) list(l *discovery.List) {
+	states := map[string]logic.State{
+		discovery.InService:   logic.Up,
+		discovery.Terminating: logic.Draining,
+		discovery.Terminated:  logic.Removed,
+	}
+	lines := make([]logic.Backend, 0, len(l.Targets))
+	named := map[string]bool{}
+	for _, t := range l.Targets {
+		line := logic.Backend{ID: t.UID, Zone: t.Zone, Cell: t.Cell, Size: t.Size, State: states[t.State]}
+		if t.Boot != 0 {
+			line.Started = logic.Time(t.Boot) * time.Millisecond
+		}
+		lines = append(lines, line)
+		named[t.UID] = t.State != discovery.Terminated
+	}
+	log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
+	d.do(func(now logic.Time) {
+		for _, t := range l.Targets {
+			if t.State != discovery.Terminated {
+				d.place(t.UID, t.Endpoint)
+			}
+		}
+		for uid, b := range d.backends {
+			if up, ok := named[uid]; ok && !up || !ok && l.All {
+				delete(d.backends, uid)
+				d.later = append(d.later, b.Close)
+			}
+		}
+		d.balancer.List(now, l.All, lines)
+	})
+}
+
+// place makes sure that the backend uid is reached at addr.
+func (d *driver) place(uid, addr string) {
+	b := d.backends[uid]
+	if b != nil && b.Addr == addr {
+		return
+	}
+	if b != nil {
+		d.later = append(d.later, b.Close)
+	}
+	d.backends[uid] = upstream.New(addr, d.opt)
+}
+
+func (d *driver) listFailed() {
+	d.do(func(now logic.Time) { d.balancer.ListFailed(now) })
+}
+
+// all returns the backends there are.
+func (d *driver) all() []*upstream.Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*upstream.Backend, 0, len(d.backends))
+	for _, b := range d.backends {
+		out = append(out, b)
+	}
+	return out
+}
+
+func (d *driver) known() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.backends)
+}
+
+// Send implements logic.Actions.
+func (d *driver) Send(request, backend string, timeout time.Duration) {
+	r := d.calls[request]
+	r.steps <- step{kind: stepSend, attempt: r.sends, to: d.backends[backend], sent: time.Now(), timeout: timeout}
+	r.sends++
+}
+
+// Refuse implements logic.Actions.
+func (d *driver) Refuse(request string, comeBack time.Duration) {
+	d.calls[request].steps <- step{kind: stepRefuse, comeBack: comeBack}
+}
+
+// Fail implements logic.Actions.
+func (d *driver) Fail(request string) {
+	d.calls[request].steps <- step{kind: stepFail}
+}
+
+// Wake implements logic.Actions.
+func (d *driver) Wake(token uint64, after time.Duration) {
+	due := time.Now().Add(after)
+	time.AfterFunc(after, func() {
+		d.stats.late(time.Since(due))
+		d.do(func(now logic.Time) { d.balancer.Wake(now, token) })
+	})
+}
+
+// CloseIdle implements logic.Actions.
+func (d *driver) CloseIdle(backend string) {
+	if b := d.backends[backend]; b != nil {
+		d.later = append(d.later, b.CloseIdle)
+	}
+}
+
+// WatchList implements logic.Actions.
+func (d *driver) WatchList() { d.ask() }
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,237 @@
+// Package proxy is the balancer on sockets: it takes requests from callers,
+// does with each what the decision module says, and answers. It has no policy:
+// facts of the transport go into the module, its actions come out.
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/http1"
+	"oxbowloft/internal/settings"
+	"oxbowloft/internal/upstream"
+)
+
+// Phase is where a proxy is in its life.
+type Phase int32
+
+// The phases, in order.
+const (
+	Starting  Phase = iota // knows its list, does not listen yet
+	Serving                // ready, if it knows a backend
+	Draining               // not ready; takes and answers what still comes
+	Finishing              // takes nothing new; answers what it has
+	Stopped
+)
+
+var phases = [...]string{"starting", "serving", "draining", "finishing", "stopped"}
+
+func (p Phase) String() string { return phases[p] }
+
+const (
+	// drainGrace is how long new connections are still taken: callers hear of a
+	// proxy's end a little after it begins.
+	drainGrace = 550 * time.Millisecond
+	// finishSlack is what is left after the longest deadline to write answers.
+	finishSlack   = 100 * time.Millisecond
+	reapEvery     = 500 * time.Millisecond
+	statsEvery    = 10 * time.Second
+	defaultIdle   = 10 * time.Second
+	defaultDial   = time.Second
+	acceptBackoff = 5 * time.Millisecond
+)
+
+// Proxy is one balancer on sockets.
+type Proxy struct {
+	cfg      *Config
+	phase    atomic.Int32
+	classes  map[string]int
+	longest  time.Duration // deadline
+	sockets  *sockets
+	clients  *clients
+	driver   *driver
+	list     *discovery.Client
+	stats    *stats
+	listener *net.TCPListener
+	tasks    sync.WaitGroup
+}
+
+// New returns a proxy that knows its list and does not listen yet.
+func New(cfg *Config) (*Proxy, error) {
+	if cfg.known == nil { // not by Load
+		if err := cfg.check(); err != nil {
+			return nil, fmt.Errorf("configuration: %w", err)
+		}
+	}
+	p := &Proxy{
+		cfg:     cfg,
+		classes: map[string]int{},
+		sockets: newSockets(cfg.Limits.Sockets),
+		clients: newClients(),
+		stats:   newStats(),
+	}
+	for i, c := range cfg.logic.Classes {
+		p.classes[c.Name] = i
+		p.longest = max(p.longest, c.Deadline)
+	}
+	opt := &upstream.Options{
+		DialTimeout: settings.Duration(cfg.Settings.Limits.DialTimeout),
+		IdleLimit:   settings.Duration(cfg.Settings.Limits.ConnIdle),
+		Slots:       p.sockets,
+	}
+	if opt.DialTimeout == 0 {
+		opt.DialTimeout = defaultDial
+	}
+	if opt.IdleLimit == 0 {
+		opt.IdleLimit = defaultIdle
+	}
+	p.list = discovery.New(cfg.Discovery, cfg.known.Rev)
+	p.driver = newDriver(cfg, opt, p.list.Ask, p.stats)
+	p.list.OnList, p.list.OnFailed = p.driver.list, p.driver.listFailed
+	p.sockets.relieve = p.relieve
+	p.driver.list(cfg.known)
+	return p, nil
+}
+
+// Phase is where the proxy is in its life.
+func (p *Proxy) Phase() Phase { return Phase(p.phase.Load()) }
+
+func (p *Proxy) enter(ph Phase) {
+	p.phase.Store(int32(ph))
+	log.Printf("event=phase phase=%s", ph)
+}
+
+// Ready tells whether the proxy can serve.
+func (p *Proxy) Ready() bool { return p.Phase() == Serving && p.driver.known() > 0 }
+
+// Addr is where the proxy listens, from Serving on.
+func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
+
+// Listen binds the proxy's address; Run does it where it has not been done.
+func (p *Proxy) Listen() error {
+	ln, err := net.Listen("tcp", p.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	p.listener = ln.(*net.TCPListener)
+	return nil
+}
+
+// Run goes through the phases: it serves until ctx is over, then drains and
+// returns once nothing is in flight.
+func (p *Proxy) Run(ctx context.Context) error {
+	if p.listener == nil {
+		if err := p.Listen(); err != nil {
+			return err
+		}
+	}
+	if !p.cfg.logic.AskForList { // the module leaves asking to us
+		p.list.Always()
+	}
+	background, stop := context.WithCancel(context.Background())
+	p.start(func() { p.list.Run(background) })
+	p.start(func() { p.housekeeping(background) })
+
+	p.enter(Serving)
+	accepted := make(chan error, 1)
+	p.start(func() { accepted <- p.accept() })
+	var err error
+	select {
+	case err = <-accepted:
+		err = fmt.Errorf("accept: %w", err)
+	case <-ctx.Done():
+		p.enter(Draining)
+		p.listener.SetDeadline(time.Now().Add(drainGrace))
+		<-accepted
+	}
+
+	p.enter(Finishing)
+	p.listener.Close()
+	select {
+	case <-p.clients.close():
+	case <-time.After(p.longest + finishSlack):
+		log.Printf("event=cut_off err=%q", "requests in flight past the longest deadline")
+	}
+	stop()
+	for _, b := range p.driver.all() {
+		b.Close()
+	}
+	p.tasks.Wait()
+	p.stats.log(p)
+	p.enter(Stopped)
+	return err
+}
+
+func (p *Proxy) start(task func()) { p.tasks.Go(task) }
+
+// accept takes connections until the listener's deadline or its end.
+func (p *Proxy) accept() error {
+	for {
+		p.sockets.wait()
+		nc, err := p.listener.Accept()
+		if err != nil {
+			p.sockets.Give()
+			var ne net.Error
+			if errors.Is(err, net.ErrClosed) || errors.As(err, &ne) && ne.Timeout() {
+				return err
+			}
+			log.Printf("event=accept_failed err=%q", err)
+			time.Sleep(acceptBackoff)
+			continue
+		}
+		p.clients.add()
+		go p.serve(&client{conn: http1.NewConn(nc)})
+	}
+}
+
+// serve takes one request after another from a client.
+func (p *Proxy) serve(c *client) {
+	defer p.clients.remove()
+	defer p.sockets.Give()
+	defer c.conn.Close()
+	for p.clients.await(c) && p.exchange(c) {
+	}
+}
+
+// relieve frees descriptors: the connections of either side that have been idle
+// for longest.
+func (p *Proxy) relieve() {
+	var oldest *upstream.Backend
+	var since time.Time
+	for _, b := range p.driver.all() {
+		if t, ok := b.Oldest(); ok && (oldest == nil || t.Before(since)) {
+			oldest, since = b, t
+		}
+	}
+	if oldest != nil {
+		oldest.CloseOldest()
+	}
+	p.clients.nudgeOldest()
+}
+
+// housekeeping closes connections to backends that have been idle for long, and
+// logs the counts.
+func (p *Proxy) housekeeping(ctx context.Context) {
+	reap, count := time.NewTicker(reapEvery), time.NewTicker(statsEvery)
+	defer reap.Stop()
+	defer count.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-reap.C:
+			for _, b := range p.driver.all() {
+				b.Reap(now)
+			}
+		case <-count.C:
+			p.stats.log(p)
+		}
+	}
+}
--- /dev/null
+++ b/proxy/sockets.go
@@ -0,0 +1,81 @@
+package proxy
+
+import "sync"
+
+// sockets is the budget of descriptors: client connections and those to
+// backends draw on it; what else the process holds is left out of it. Near its
+// end idle connections are closed. The last part is for clients alone: what
+// the kernel has accepted must be taken, and can be refused.
+type sockets struct {
+	mu    sync.Mutex
+	freed *sync.Cond
+	used  int
+	limit int
+	most  int // that were ever in use
+
+	// relieve closes or hurries an idle connection of either side.
+	relieve func()
+}
+
+const (
+	ownSockets   = 16        // listener, discovery, poller, standard streams, a dial under way
+	clientsOwn   = 1.0 / 8   // of the budget, for clients alone
+	relieveAbove = 3.0 / 4.0 // of the budget in use
+)
+
+func newSockets(limit int) *sockets {
+	s := &sockets{limit: limit - ownSockets}
+	s.freed = sync.NewCond(&s.mu)
+	return s
+}
+
+// Take takes a descriptor for a connection to a backend, if there is one.
+func (s *sockets) Take() bool {
+	s.relieveIfNear()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if float64(s.used) >= (1-clientsOwn)*float64(s.limit) {
+		return false
+	}
+	s.take()
+	return true
+}
+
+// wait takes a descriptor for a client, once there is one.
+func (s *sockets) wait() {
+	s.relieveIfNear()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.used >= s.limit {
+		s.freed.Wait()
+	}
+	s.take()
+}
+
+func (s *sockets) take() {
+	s.used++
+	s.most = max(s.most, s.used)
+}
+
+// Give gives one back.
+func (s *sockets) Give() {
+	s.mu.Lock()
+	s.used--
+	s.mu.Unlock()
+	s.freed.Signal()
+}
+
+func (s *sockets) relieveIfNear() {
+	s.mu.Lock()
+	near := float64(s.used) >= relieveAbove*float64(s.limit)
+	s.mu.Unlock()
+	if near {
+		s.relieve()
+	}
+}
+
+func (s *sockets) inUse() (used, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used, s.most
+}
--- /dev/null
+++ b/proxy/stats.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"log"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oxbowloft/logic"
+)
+
+// stats count what a proxy does, for its log.
+type stats struct {
+	refused, failed, gone, bad, unwritten atomic.Int64
+
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram // of answers, in microseconds
+	lateness *hdrhistogram.Histogram // of timers, in microseconds
+	results  [logic.NeverSent + 1]int64
+}
+
+func newStats() *stats {
+	const longest = int64(time.Minute / time.Microsecond)
+	return &stats{latency: hdrhistogram.New(1, longest, 2), lateness: hdrhistogram.New(1, longest, 2)}
+}
+
+func (s *stats) served(d time.Duration) {
+	s.mu.Lock()
+	s.latency.RecordValue(d.Microseconds())
+	s.mu.Unlock()
+}
+
+func (s *stats) late(d time.Duration) {
+	s.mu.Lock()
+	s.lateness.RecordValue(max(0, d.Microseconds()))
+	s.mu.Unlock()
+}
+
+func (s *stats) attempt(r logic.Result) {
+	s.mu.Lock()
+	s.results[r]++
+	s.mu.Unlock()
+}
+
+// log writes the counts so far.
+func (s *stats) log(p *Proxy) {
+	used, most := p.sockets.inUse()
+	opened := uint64(0)
+	for _, b := range p.driver.all() {
+		opened += b.Opened()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.results
+	log.Printf("event=stats served=%d refused=%d failed=%d gone=%d bad=%d unwritten=%d p50_us=%d p99_us=%d "+
+		"error=%d full=%d timed_out=%d no_connect=%d broken=%d never_sent=%d opened=%d sockets=%d sockets_most=%d "+
+		"timer_p99_us=%d timer_max_us=%d",
+		r[logic.OK], s.refused.Load(), s.failed.Load(), s.gone.Load(), s.bad.Load(), s.unwritten.Load(),
+		s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99),
+		r[logic.Error], r[logic.Full], r[logic.TimedOut], r[logic.NoConnect], r[logic.Broken], r[logic.NeverSent],
+		opened, used, most, s.lateness.ValueAtQuantile(99), s.lateness.Max())
+}
