Tests over sockets with small stand-ins; idle connections give way to a crowd; drain to the last

Found while they were written, each now with a test: - an idle connection that the module wants closed could still be used by the call that follows, since it was closed after the lock was let go: it is now out of use at once (upstream.Detach). - with all descriptors in use, connections that became idle stayed, and accepting stood still: they now close at once, and answers say Connection: close (clients.rest, upstream.keep, Proxy.write). - the size of a head depended on how its bytes were cut. - what the kernel had accepted when the drain's grace ended was closed on: it is now taken.

--- /dev/null
+++ b/cmd/oxbowloft/main_test.go
@@ -0,0 +1,858 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// These tests start the built program, with the race detector in it, and speak
+// to it over sockets. Bounds on time are wide: they tell a hang from an answer.
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "oxbowloft")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "oxbowloft")
+	if out, err := exec.Command("go", "build", "-race", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const patience = 20 * time.Second
+
+// running is a started program.
+type running struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	addr string
+	dead chan error
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+func (r *running) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.Write(b)
+}
+
+func (r *running) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.String()
+}
+
+// freeAddr is an address that nothing listens on.
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func writeConfig(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// start starts the program with a known list and waits until it is ready. At
+// the end of the test it must still run, unless the test has ended it, and must
+// then end on SIGTERM without a complaint.
+func start(t *testing.T, discovery string, sockets int, known string) *running {
+	t.Helper()
+	r := &running{t: t, addr: freeAddr(t), dead: make(chan error, 1)}
+	r.cmd = exec.Command(program, "serve")
+	r.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+
+		writeConfig(t, standin.Config(r.addr, discovery, sockets, known)))
+	r.cmd.Stdout, r.cmd.Stderr = r, r
+	if err := r.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { r.dead <- r.cmd.Wait() }()
+	t.Cleanup(func() {
+		if r.cmd.ProcessState == nil {
+			r.signal(syscall.SIGTERM)
+			if err := r.wait(); err != nil {
+				t.Errorf("exit: %v", err)
+			}
+		}
+		for _, bad := range []string{"DATA RACE", "panic"} {
+			if strings.Contains(r.text(), bad) {
+				t.Errorf("%s in the log:\n%s", bad, r.text())
+			}
+		}
+		if t.Failed() {
+			t.Logf("log:\n%s", r.text())
+		}
+	})
+	r.eventually("listening", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	return r
+}
+
+// startOn starts the program before backends that are known from the start.
+func startOn(t *testing.T, backends ...*standin.Backend) *running {
+	t.Helper()
+	var targets []string
+	for i, b := range backends {
+		targets = append(targets, standin.Target(fmt.Sprintf("s-%d", i), b.Addr()))
+	}
+	list := standin.List(1, true, targets...)
+	return start(t, standin.NewDiscovery(t, list).Addr(), 256, list)
+}
+
+func (r *running) signal(s os.Signal) {
+	if err := r.cmd.Process.Signal(s); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// wait waits for the end of the program.
+func (r *running) wait() error {
+	r.t.Helper()
+	select {
+	case err := <-r.dead:
+		return err
+	case <-time.After(patience):
+		r.cmd.Process.Kill()
+		r.t.Fatalf("still runs; log:\n%s", r.text())
+	}
+	return nil
+}
+
+func (r *running) eventually(what string, f func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("not in time: %s; log:\n%s", what, r.text())
+		}
+	}
+}
+
+// descriptors is how many sockets the program holds.
+func (r *running) descriptors() int {
+	dir := fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	n := 0
+	for _, e := range entries {
+		if to, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && strings.HasPrefix(to, "socket:") {
+			n++
+		}
+	}
+	return n
+}
+
+// conn is a client's connection.
+type conn struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+func (r *running) dial() *conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &conn{c, r.t, bufio.NewReader(c)}
+}
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	close  bool
+}
+
+func (c *conn) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// read reads an answer; all connections must bring one, or the test fails.
+func (c *conn) read() reply {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatalf("answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatalf("body: %v", err)
+	}
+	return reply{resp.StatusCode, string(body), resp.Header, resp.Close}
+}
+
+func (c *conn) ask(text string) reply {
+	c.t.Helper()
+	c.send(text)
+	return c.read()
+}
+
+// ended tells whether the proxy has closed the connection, with nothing more on it.
+func (c *conn) ended() bool {
+	n, err := c.r.Read(make([]byte, 1))
+	return n == 0 && err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+var ids struct {
+	sync.Mutex
+	n int
+}
+
+func head(method, target, class string, ms int, more ...string) string {
+	ids.Lock()
+	ids.n++
+	id := ids.n
+	ids.Unlock()
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: %016x\r\n"+
+		"X-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n", method, target, id, class, ms,
+		strings.Join(append(more, ""), "\r\n"))
+}
+
+func get(ms int) string { return head("GET", "/api", "get", ms) }
+
+func post(class, body string, ms int) string {
+	return head("POST", "/api", class, ms, "Content-Length: "+strconv.Itoa(len(body))) + body
+}
+
+func TestRequests(t *testing.T) {
+	r := startOn(t, standin.NewBackend(t, standin.Echo), standin.NewBackend(t, standin.Echo))
+	c := r.dial()
+	want := func(got reply, body string) {
+		t.Helper()
+		if got.status != 200 || got.body != body || got.close {
+			t.Fatalf("got %+v, want %q", got, body)
+		}
+	}
+	large := strings.Repeat("x", 64<<10)
+	want(c.ask(get(2000)), "GET /api ")
+	want(c.ask(head("GET", "/api?a=b%20c&d", "get", 2000)), "GET /api?a=b%20c&d ")
+	want(c.ask(post("pay", "hello", 2000)), "POST /api hello")
+	want(c.ask(head("POST", "/api", "pay", 2000, "Transfer-Encoding: chunked")+"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"),
+		"POST /api hello")
+	want(c.ask(post("pay", large[:60<<10], 2000)), "POST /api "+large[:60<<10])
+
+	// Two in one write, answered one after the other.
+	c.send(post("pay", "one", 2000) + get(2000))
+	want(c.read(), "POST /api one")
+	want(c.read(), "GET /api ")
+
+	// One in many small pieces.
+	for _, b := range []byte(post("pay", "slow", 2000)) {
+		c.send(string(b))
+	}
+	want(c.read(), "POST /api slow")
+
+	// Two at once with one id are two requests.
+	text := get(2000)
+	d := r.dial()
+	c.send(text)
+	d.send(text)
+	want(c.read(), "GET /api ")
+	want(d.read(), "GET /api ")
+
+	if got := c.ask(head("GET", "/api", "get", 2000, "Connection: close")); got.status != 200 || !got.close || !c.ended() {
+		t.Errorf("after Connection: close got %+v", got)
+	}
+	if got := r.dial().ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"); got.status != 200 {
+		t.Errorf("healthz: %+v", got)
+	}
+}
+
+func TestForwarded(t *testing.T) {
+	var seen http.Header
+	r := startOn(t, standin.NewBackend(t, func(c *standin.Call) {
+		seen = c.Header
+		c.Reply(200, "", "Content-Type: text/x")
+	}))
+	got := r.dial().ask("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: 00ff\r\nX-Priority-Class: get\r\n" +
+		"X-Timeout-Ms: 2000\r\nX-Retried: 1\r\nKeep-Alive: x\r\n\r\n")
+	if got.status != 200 || got.header.Get("Content-Type") != "text/x" {
+		t.Errorf("got %+v", got)
+	}
+	if seen.Get("X-Request-ID") != "00ff" || seen.Get("X-Retried") != "1" || seen.Get("Keep-Alive") != "" {
+		t.Errorf("headers %v", seen)
+	}
+	if ms, err := strconv.Atoi(seen.Get("X-Timeout-Ms")); err != nil || ms < 1 || ms >= 2000 || len(seen["X-Timeout-Ms"]) != 1 {
+		t.Errorf("time-outs %q", seen["X-Timeout-Ms"])
+	}
+}
+
+// warm makes good calls until the module lets one in ten be repeated.
+func (r *running) warm(c *conn) {
+	r.t.Helper()
+	for range 15 {
+		for _, text := range []string{get(2000), post("pay", "x", 2000)} {
+			if got := c.ask(text); got.status != 200 {
+				r.t.Fatalf("warming up: got %+v", got)
+			}
+		}
+	}
+}
+
+// Each way an attempt can end, for a class that may run again and one that must
+// not: how often backends are called, and the answer.
+func TestOutcomes(t *testing.T) {
+	half := "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+	for _, c := range []struct {
+		name      string
+		first     func(*standin.Call)
+		pay       int // its answer to the class that must not run twice
+		payCalled int
+	}{
+		{"error", func(c *standin.Call) { c.Reply(500, "no") }, 502, 1},
+		{"turned away", func(c *standin.Call) { c.Reply(503, "", "X-Not-Processed: 1") }, 200, 2},
+		{"too late there", func(c *standin.Call) { c.Reply(504, "", "X-Not-Processed: 1") }, 200, 2},
+		{"503 that says no more", func(c *standin.Call) { c.Reply(503, "") }, 502, 1},
+		{"closed", (*standin.Call).Close, 502, 1},
+		{"reset", (*standin.Call).Reset, 502, 1},
+		{"broken body", func(c *standin.Call) { c.Raw(half); c.Close() }, 502, 1},
+		{"garbage", func(c *standin.Call) { c.Raw("\x00\x01\r\n\r\n") }, 502, 1},
+		{"answer too large", func(c *standin.Call) { c.Reply(200, strings.Repeat("x", 70<<10)) }, 502, 1},
+		{"silent", (*standin.Call).Hang, 502, 1},
+		{"hangs in the body", func(c *standin.Call) { c.Raw(half); c.Hang() }, 502, 1},
+		{"dribbles", (*standin.Call).Dribble, 502, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			calls := 0
+			handle := func(call *standin.Call) {
+				mu.Lock()
+				calls++
+				n := calls
+				mu.Unlock()
+				if n == 1 {
+					c.first(call)
+					return
+				}
+				standin.Echo(call)
+			}
+			count := func(set int) (n int) {
+				mu.Lock()
+				defer mu.Unlock()
+				n, calls = calls, set
+				return n
+			}
+			calls = 1 // none is the first yet
+			r := startOn(t, standin.NewBackend(t, handle), standin.NewBackend(t, handle))
+			cl := r.dial()
+			r.warm(cl)
+			count(0)
+			began := time.Now()
+			if got := cl.ask(get(2000)); got.status != 200 || got.body != "GET /api " {
+				t.Errorf("may run again: got %d %q", got.status, got.body)
+			}
+			if n := count(0); n != 2 {
+				t.Errorf("may run again: %d calls", n)
+			}
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("answered after %v, 2 s allowed", took)
+			}
+			began = time.Now()
+			if got := cl.ask(post("pay", "x", 1000)); got.status != c.pay {
+				t.Errorf("must not run twice: got %d %q", got.status, got.body)
+			}
+			if n := count(1); n != c.payCalled {
+				t.Errorf("must not run twice: %d calls", n)
+			}
+			if took := time.Since(began); took > 1070*time.Millisecond+patience/10 {
+				t.Errorf("answered after %v, 1 s allowed", took)
+			}
+			// Whatever came of it, the connection goes on.
+			if got := cl.ask(get(2000)); got.status != 200 {
+				t.Errorf("then: got %d", got.status)
+			}
+		})
+	}
+}
+
+// What never ran may go elsewhere, and is refused, not failed, where there is
+// nowhere: with a decimal time to come back.
+func TestNobodyThere(t *testing.T) {
+	gone := standin.NewBackend(t, standin.Echo)
+	gone.Stop()
+	r := startOn(t, gone)
+	got := r.dial().ask(post("pay", "x", 1000))
+	if got.status != 503 {
+		t.Errorf("got %+v", got)
+	}
+	if after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || after <= 0 || after > 1.5 {
+		t.Errorf("Retry-After %q", got.header.Get("Retry-After"))
+	}
+}
+
+// Guards against a request for which an idle connection has been closed, and
+// which must not run twice.
+func TestIdleClosedByBackend(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	r := startOn(t, b)
+	c := r.dial()
+	for range 5 {
+		if got := c.ask(post("pay", "x", 2000)); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+		b.Cut()
+		r.eventually("cut", func() bool { _, open := b.Conns(); return open == 0 })
+	}
+}
+
+// A backend that has been given up sees its connection closed before the next
+// attempt goes out.
+func TestGivenUpIsClosed(t *testing.T) {
+	closed := make(chan bool, 1)
+	var mu sync.Mutex
+	calls := 0
+	handle := func(c *standin.Call) {
+		mu.Lock()
+		calls++
+		n := calls
+		mu.Unlock()
+		if n == 1 {
+			c.Hang()
+			closed <- true
+			return
+		}
+		if n > 2 {
+			standin.Echo(c)
+			return
+		}
+		// The end of the first connection was sent before: it is noticed.
+		select {
+		case <-closed:
+			standin.Echo(c)
+		case <-time.After(time.Second):
+			c.Reply(500, "the first attempt is still out")
+		}
+	}
+	calls = 2 // neither the first nor the second yet
+	r := startOn(t, standin.NewBackend(t, handle), standin.NewBackend(t, handle))
+	c := r.dial()
+	r.warm(c)
+	mu.Lock()
+	calls = 0
+	mu.Unlock()
+	if got := c.ask(get(2000)); got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if calls != 2 {
+		t.Errorf("%d calls", calls)
+	}
+}
+
+func TestClientGone(t *testing.T) {
+	b := standin.NewBackend(t, (*standin.Call).Hang)
+	r := startOn(t, b)
+	c := r.dial()
+	c.send(post("pay", "x", 1500))
+	r.eventually("the attempt", func() bool { return b.Calls() == 1 })
+	c.Close()
+	before := r.descriptors()
+	r.eventually("the client's descriptor given back", func() bool { return r.descriptors() < before })
+	r.signal(syscall.SIGTERM)
+	if err := r.wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if !strings.Contains(r.text(), " gone=1 ") {
+		t.Error("not counted as gone")
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	r := startOn(t, b)
+	with := func(headers ...string) string {
+		return "GET /api HTTP/1.1\r\nHost: h\r\n" + strings.Join(append(headers, ""), "\r\n") + "\r\n"
+	}
+	kept := 0
+	const id, class, ms = "X-Request-ID: 00ff", "X-Priority-Class: get", "X-Timeout-Ms: 500"
+	for _, c := range []struct {
+		name, text string
+		status     int
+		closed     bool
+	}{
+		{"malformed head", "hello\r\n\r\n", 400, true},
+		{"bad header", "GET / HTTP/1.1\r\nno colon here\r\n\r\n", 400, true},
+		{"control character in a header", with(id, class, ms, "X-A: a\x01b"), 400, true},
+		{"carriage return in a header", with(id, class, ms, "X-A: a\rX-B: b"), 400, true},
+		{"bad length", "POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400, true},
+		{"bad chunk", head("POST", "/api", "get", 500, "Transfer-Encoding: chunked") + "zz\r\n", 400, true},
+		{"head too large", "GET /" + strings.Repeat("x", 40<<10) + " HTTP/1.1\r\n\r\n", 431, true},
+		{"body too large", head("POST", "/api", "get", 500, "Content-Length: 70000") + strings.Repeat("x", 70000), 413, true},
+		{"unknown class", with(id, "X-Priority-Class: odd", ms), 400, false},
+		{"no class", with(id, ms), 400, false},
+		{"no time-out", with(id, class), 400, false},
+		{"time-out is no number", with(id, class, "X-Timeout-Ms: soon"), 400, false},
+		{"time-out spent", with(id, class, "X-Timeout-Ms: 0"), 400, false},
+		{"time-out below zero", with(id, class, "X-Timeout-Ms: -5"), 400, false},
+		{"time-out beyond reason", with(id, class, "X-Timeout-Ms: 99999999999999999999"), 400, false},
+		{"no id", with(class, ms), 400, false},
+		{"unknown method", head("BREW", "/api", "get", 500), 405, false},
+		{"connect", head("CONNECT", "h:1", "get", 500), 405, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := strings.Count(r.text(), "event=bad_request")
+			cl := r.dial()
+			got := cl.ask(c.text)
+			if got.status != c.status || got.close != c.closed {
+				t.Errorf("got %+v", got)
+			}
+			if c.closed && !cl.ended() {
+				t.Error("the connection goes on")
+			}
+			if !c.closed {
+				kept++
+				if got := cl.ask(get(2000)); got.status != 200 {
+					t.Errorf("then: got %+v", got)
+				}
+			}
+			r.eventually("a line in the log", func() bool {
+				return strings.Count(r.text(), "event=bad_request") == before+1
+			})
+		})
+	}
+	if calls := b.Calls(); calls != kept { // the good ones that followed
+		t.Errorf("%d calls, %d good requests", calls, kept)
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	name := func(n string) func(*standin.Call) { return func(c *standin.Call) { c.Reply(200, n) } }
+	a, b := standin.NewBackend(t, name("a")), standin.NewBackend(t, name("b"))
+	d := standin.NewDiscovery(t, standin.List(3, false))
+	r := start(t, d.Addr(), 256, standin.List(3, true, standin.Target("s-1", a.Addr())))
+	c := r.dial()
+	served := func(by string) func() bool { return func() bool { return c.ask(get(2000)).body == by } }
+	if !served("a")() {
+		t.Error("the known list does not serve")
+	}
+	r.eventually("a watch", func() bool { return d.Watches() == 1 })
+	if got := d.Asked()[0]; got != "/v1/servers?stream=1&index=3" {
+		t.Errorf("asked %q", got)
+	}
+
+	// Another endpoint for the same backend: the old one's connections end.
+	d.Push(standin.List(4, false, standin.Target("s-1", b.Addr())))
+	r.eventually("the new endpoint", served("b"))
+	r.eventually("old idle connections closed", func() bool { _, open := a.Conns(); return open == 0 })
+
+	// It drains: nothing new goes to it.
+	d.Push(standin.List(5, false, standin.TargetIn("terminating", "s-1", b.Addr()), standin.Target("s-2", a.Addr())))
+	r.eventually("the other backend", served("a"))
+	calls := b.Calls()
+	for range 20 {
+		if !served("a")() {
+			t.Error("served by one that drains")
+		}
+	}
+	if b.Calls() != calls {
+		t.Error("called one that drains")
+	}
+
+	// It is gone: idle connections to it end.
+	d.Push(standin.List(6, false, standin.TargetIn("terminated", "s-1", "")))
+	r.eventually("idle connections closed", func() bool { _, open := b.Conns(); return open == 0 })
+
+	// What can't be read is logged; the last list serves on, and the watch is
+	// taken up after it.
+	d.Begin(standin.List(6, false))
+	d.Push(`{"rev":7,"all":true,"targets":"none"}`)
+	r.eventually("a line in the log", func() bool { return strings.Contains(r.text(), "event=watch_ended rev=6") })
+	if !served("a")() {
+		t.Error("the last list does not serve on")
+	}
+	r.eventually("another watch", func() bool { return d.Watches() == 1 })
+	if asked := d.Asked(); asked[len(asked)-1] != "/v1/servers?stream=1&index=6" {
+		t.Errorf("asked %q", asked)
+	}
+
+	// An outage: served on, asked with waits between.
+	d.Down(true)
+	d.Break()
+	before := len(d.Asked())
+	time.Sleep(time.Second)
+	if !served("a")() {
+		t.Error("the last list does not serve on")
+	}
+	// The first waits are 0.1 s at the least; no flood.
+	if n := len(d.Asked()) - before; n > 10 {
+		t.Errorf("asked %d times in a second", n)
+	}
+	d.Down(false)
+	r.eventually("a watch again", func() bool { return d.Watches() == 1 })
+
+	// A whole list without a backend takes it away.
+	d.Push(standin.List(9, true, standin.Target("s-3", b.Addr())))
+	r.eventually("the whole list", served("b"))
+}
+
+func TestOutageFromTheStart(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	r := start(t, freeAddr(t), 256, standin.List(1, true, standin.Target("s-1", b.Addr())))
+	if got := r.dial().ask(get(2000)); got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestNoBackendKnown(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	d := standin.NewDiscovery(t, standin.List(1, true))
+	r := start(t, d.Addr(), 256, "null")
+	health := func() int { return r.dial().ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").status }
+	if got := health(); got != 503 {
+		t.Errorf("ready without a backend: %d", got)
+	}
+	if got := r.dial().ask(get(1000)); got.status != 503 {
+		t.Errorf("got %+v", got)
+	}
+	r.eventually("a watch", func() bool { return d.Watches() == 1 })
+	d.Push(standin.List(2, false, standin.Target("s-1", b.Addr())))
+	r.eventually("ready", func() bool { return health() == 200 })
+}
+
+func TestDrain(t *testing.T) {
+	release := make(chan bool)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		if c.Method == "POST" {
+			<-release
+		}
+		standin.Echo(c)
+	})
+	r := startOn(t, b)
+	idle, busy := r.dial(), r.dial()
+	if got := idle.ask(get(2000)); got.status != 200 {
+		t.Fatalf("got %+v", got)
+	}
+	busy.send(post("pay", "x", 2000))
+	r.eventually("the attempt", func() bool { return b.Calls() == 2 })
+	r.signal(syscall.SIGTERM)
+	r.eventually("draining", func() bool { return strings.Contains(r.text(), "phase=draining") })
+	// It still takes what comes, by old connections and new ones, and says that
+	// they end.
+	if got := idle.ask(get(2000)); got.status != 200 || !got.close || !idle.ended() {
+		t.Errorf("on an old connection: got %+v", got)
+	}
+	if got := r.dial().ask(get(2000)); got.status != 200 || !got.close {
+		t.Errorf("on a new connection: got %+v", got)
+	}
+	if got := r.dial().ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"); got.status != 503 {
+		t.Errorf("healthz: got %+v", got)
+	}
+	unused := r.dial()
+	close(release)
+	if got := busy.read(); got.status != 200 || got.body != "POST /api x" || !got.close {
+		t.Errorf("in flight: got %+v", got)
+	}
+	if !unused.ended() {
+		t.Error("an idle connection goes on")
+	}
+	if err := r.wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	for _, phase := range []string{"serving", "draining", "finishing", "stopped"} {
+		if !strings.Contains(r.text(), "phase="+phase) {
+			t.Errorf("no phase %s in the log", phase)
+		}
+	}
+}
+
+func TestSecondSignal(t *testing.T) {
+	b := standin.NewBackend(t, (*standin.Call).Hang)
+	r := startOn(t, b)
+	r.dial().send(post("pay", "x", 10000))
+	r.eventually("the attempt", func() bool { return b.Calls() == 1 })
+	r.signal(syscall.SIGTERM)
+	r.eventually("draining", func() bool { return strings.Contains(r.text(), "phase=draining") })
+	r.signal(syscall.SIGTERM)
+	if err := r.wait(); err == nil {
+		t.Error("ended as if all were answered")
+	}
+}
+
+// A killed proxy starts again under its address, and serves.
+func TestKillAndRestart(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	d := standin.NewDiscovery(t, list)
+	r := start(t, d.Addr(), 256, list)
+	c := r.dial()
+	if got := c.ask(get(2000)); got.status != 200 {
+		t.Fatalf("got %+v", got)
+	}
+	r.signal(syscall.SIGKILL)
+	r.wait()
+	again := exec.Command(program, "serve", writeConfig(t, standin.Config(r.addr, d.Addr(), 256, list)))
+	if err := again.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { again.Process.Kill(); again.Wait() }()
+	r.eventually("ready again", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	if got := r.dial().ask(get(2000)); got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Connections beyond the budget: idle ones are given up, requests are answered,
+// and the budget is kept.
+func TestCrowd(t *testing.T) {
+	const sockets = 64
+	b := standin.NewBackend(t, standin.Echo)
+	list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	r := start(t, standin.NewDiscovery(t, list).Addr(), sockets, list)
+	for range 3 * sockets {
+		if got := r.dial().ask(get(2000)); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+		if n := r.descriptors(); n > sockets {
+			t.Fatalf("%d sockets", n)
+		}
+	}
+	// Silent ones too.
+	for range 3 * sockets {
+		r.dial()
+	}
+	if got := r.dial().ask(get(2000)); got.status != 200 {
+		t.Errorf("behind a silent crowd: got %+v", got)
+	}
+	if n := r.descriptors(); n > sockets {
+		t.Errorf("%d sockets", n)
+	}
+}
+
+// More requests at once than descriptors to pass them on, to backends that say
+// nothing: each is answered in its time.
+func TestSilentBackends(t *testing.T) {
+	const sockets = 64
+	b := standin.NewBackend(t, (*standin.Call).Hang)
+	list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	r := start(t, standin.NewDiscovery(t, list).Addr(), sockets, list)
+	var conns []*conn
+	for range 2 * sockets {
+		c := r.dial()
+		c.send(post("pay", "x", 1000))
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		if got := c.read(); got.status != 502 && got.status != 503 {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if n := r.descriptors(); n > sockets {
+		t.Errorf("%d sockets", n)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	r.eventually("descriptors given back", func() bool { return r.descriptors() <= 8 })
+}
+
+func TestBadConfig(t *testing.T) {
+	good := standin.Config("127.0.0.1:0", "127.0.0.1:1", 256, standin.List(1, true))
+	swap := func(old, with string) string {
+		if !strings.Contains(good, old) {
+			t.Fatalf("no %s in the configuration", old)
+		}
+		return strings.Replace(good, old, with, 1)
+	}
+	for _, c := range []struct{ name, text, want string }{
+		{"no JSON", "listen = 3", "invalid character"},
+		{"empty", "", "unexpected end"},
+		{"no listen", swap(`"listen":"127.0.0.1:0",`, ""), "listen"},
+		{"no discovery", swap(`"discovery":"127.0.0.1:1",`, ""), "discovery"},
+		{"bad seed", swap("8c1f30d27a5be964", "xyz"), "seed"},
+		{"few sockets", swap(`"sockets":256`, `"sockets":8`), "sockets"},
+		{"no settings", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1"}`, "no settings"},
+		{"bad class", swap(`"idempotency":"free"`, `"idempotency":"maybe"`), "idempotency"},
+		{"no attempts", swap(`"max-attempts":4`, `"max-attempts":0`), "max-attempts"},
+		{"bad known list", swap(`"targets":[]`, `"targets":[{}]`), "known"},
+	} {
+		for _, command := range []string{"serve", "check"} {
+			t.Run(c.name+" "+command, func(t *testing.T) {
+				cmd := exec.Command(program, command, writeConfig(t, c.text))
+				var out, errs bytes.Buffer
+				cmd.Stdout, cmd.Stderr = &out, &errs
+				if err := cmd.Run(); err == nil {
+					t.Error("exit 0")
+				}
+				if text := errs.String(); strings.Count(text, "\n") != 1 || !strings.Contains(text, c.want) {
+					t.Errorf("said %q", text)
+				}
+			})
+		}
+	}
+	if out, err := exec.Command(program, "check", writeConfig(t, good)).Output(); err != nil || string(out) != "ok\n" {
+		t.Errorf("check of a good one: %q, %v", out, err)
+	}
+	cmd := exec.Command(program, "serve")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH")}
+	if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), "BALANCER_CONFIG") {
+		t.Errorf("without a configuration: %q, %v", out, err)
+	}
+}
+
+// The variables serve where the configuration lacks a value.
+func TestVariables(t *testing.T) {
+	text := strings.Replace(standin.Config("", "", 256, "null"), `"listen":"","discovery":"",`, "", 1)
+	cmd := exec.Command(program, "check", writeConfig(t, text))
+	cmd.Env = append(os.Environ(), "BALANCER_LISTEN=127.0.0.1:1", "BALANCER_DISCOVERY=127.0.0.1:2")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Errorf("%s: %v", out, err)
+	}
+}
+
+func TestVersion(t *testing.T) {
+	if out, err := exec.Command(program, "version").Output(); err != nil || !strings.HasPrefix(string(out), "oxbowloft ") {
+		t.Errorf("%q, %v", out, err)
+	}
+}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -108,12 +108,13 @@
 	}
 	for seen := 0; ; {
 		text := c.buf[c.start:c.end]
-		if headEnds(text, seen) {
-			return nil
-		}
-		if len(text) > MaxHead {
+		size, whole := headSize(text, seen)
+		if size > MaxHead {
 			return ErrHeadTooLarge
 		}
+		if whole {
+			return nil
+		}
 		seen = len(text)
 		if err := c.fill(); err != nil {
 			return inside(err)
@@ -121,11 +122,16 @@
 	}
 }
 
-// headEnds tells whether an empty line ends in text, of which the first seen
-// bytes were looked at before.
-func headEnds(text []byte, seen int) bool {
-	tail := text[max(0, seen-3):]
-	return bytes.Contains(tail, []byte("\n\r\n")) || bytes.Contains(tail, []byte("\n\n"))
+// headSize is how much of text is head, and whether that is all of the head:
+// whether it ends with an empty line. The first seen bytes hold no such end.
+func headSize(text []byte, seen int) (size int, whole bool) {
+	for i := max(0, seen-2); i < len(text); i++ {
+		line := text[i:]
+		if text[i] == '\n' && (bytes.HasPrefix(line, []byte("\n\r\n")) || bytes.HasPrefix(line, []byte("\n\n"))) {
+			return i + 1, true
+		}
+	}
+	return len(text), false
 }
 
 // inside is the error of a read inside a message, where an end is no clean end.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowloft/internal/http1"
@@ -29,6 +30,7 @@
 type Slots interface {
 	Take() bool // without waiting
 	Give()
+	Full() bool // what becomes idle should be given back
 }
 
 // Options are what the connections to all backends have in common.
@@ -36,6 +38,8 @@
 	DialTimeout time.Duration
 	IdleLimit   time.Duration // idle connections are closed by then
 	Slots       Slots
+
+	Opened atomic.Int64 // connections, to all backends
 }
 
 // Backend is one backend's address and the idle connections to it.
@@ -46,7 +50,6 @@
 	mu     sync.Mutex
 	idle   []idle // oldest first
 	closed bool
-	opened uint64
 }
 
 type idle struct {
@@ -129,9 +132,7 @@
 		b.opt.Slots.Give()
 		return nil, err
 	}
-	b.mu.Lock()
-	b.opened++
-	b.mu.Unlock()
+	b.opt.Opened.Add(1)
 	return http1.NewConn(nc), nil
 }
 
@@ -149,13 +150,14 @@
 }
 
 func (b *Backend) keep(c *http1.Conn) {
+	full := b.opt.Slots.Full()
 	b.mu.Lock()
-	closed := b.closed
-	if !closed {
+	drop := full || b.closed
+	if !drop {
 		b.idle = append(b.idle, idle{c, time.Now()})
 	}
 	b.mu.Unlock()
-	if closed {
+	if drop {
 		b.discard(c)
 	}
 }
@@ -169,11 +171,15 @@
 // that none is used which the backend is about to close.
 func (b *Backend) Reap(now time.Time) {
 	const most = 0.7
-	b.closeWhere(func(i idle) bool { return float64(now.Sub(i.since)) > most*float64(b.opt.IdleLimit) })
+	b.closeAll(b.take(func(i idle) bool { return float64(now.Sub(i.since)) > most*float64(b.opt.IdleLimit) }))
 }
 
-// CloseIdle closes all idle connections.
-func (b *Backend) CloseIdle() { b.closeWhere(func(idle) bool { return true }) }
+// Detach takes all idle connections out of use, without waiting for anything.
+// The function that it returns closes them.
+func (b *Backend) Detach() (closeThem func()) {
+	out := b.take(func(idle) bool { return true })
+	return func() { b.closeAll(out) }
+}
 
 // Oldest is when the oldest idle connection became idle.
 func (b *Backend) Oldest() (since time.Time, ok bool) {
@@ -188,7 +194,9 @@
 // CloseOldest closes the oldest idle connection, if there is one.
 func (b *Backend) CloseOldest() bool {
 	first := true
-	return b.closeWhere(func(idle) bool { was := first; first = false; return was }) > 0
+	out := b.take(func(idle) bool { was := first; first = false; return was })
+	b.closeAll(out)
+	return len(out) > 0
 }
 
 // Close closes the idle connections, and those in use once they become idle.
@@ -196,19 +204,13 @@
 	b.mu.Lock()
 	b.closed = true
 	b.mu.Unlock()
-	b.CloseIdle()
+	b.Detach()()
 }
 
-// Opened is the number of connections opened so far.
-func (b *Backend) Opened() uint64 {
+// take takes those idle connections out of use that which says.
+func (b *Backend) take(which func(idle) bool) (out []*http1.Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.opened
-}
-
-func (b *Backend) closeWhere(which func(idle) bool) int {
-	var out []*http1.Conn
-	b.mu.Lock()
 	kept := b.idle[:0]
 	for _, i := range b.idle {
 		if which(i) {
@@ -219,9 +221,11 @@
 	}
 	clear(b.idle[len(kept):])
 	b.idle = kept
-	b.mu.Unlock()
-	for _, c := range out {
+	return out
+}
+
+func (b *Backend) closeAll(conns []*http1.Conn) {
+	for _, c := range conns {
 		b.discard(c)
 	}
-	return len(out)
 }
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,214 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/http1"
+	"oxbowloft/internal/standin"
+)
+
+// slots is a budget that counts; none is left once out of them.
+type slots struct{ free atomic.Int64 }
+
+func (s *slots) Take() bool {
+	if s.free.Add(-1) < 0 {
+		s.free.Add(1)
+		return false
+	}
+	return true
+}
+func (s *slots) Give()      { s.free.Add(1) }
+func (s *slots) Full() bool { return s.free.Load() == 0 }
+
+func options(n int64) (*Options, *slots) {
+	s := &slots{}
+	s.free.Store(n)
+	return &Options{DialTimeout: time.Second, IdleLimit: 10 * time.Second, Slots: s}, s
+}
+
+func get(time.Duration) []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") }
+
+func soon() time.Time { return time.Now().Add(10 * time.Second) }
+
+func TestStages(t *testing.T) {
+	const short = 100 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		handle  func(*standin.Call)
+		within  time.Duration
+		stage   Stage
+		status  int
+		timeout bool
+		err     error
+	}{
+		{"answer", standin.Echo, time.Minute, Answered, 200, false, nil},
+		{"error", func(c *standin.Call) { c.Reply(500, "") }, time.Minute, Answered, 500, false, nil},
+		{"closed unanswered", (*standin.Call).Close, time.Minute, Written, 0, false, nil},
+		{"reset unanswered", (*standin.Call).Reset, time.Minute, Written, 0, false, nil},
+		{"broken in the head", func(c *standin.Call) { c.Raw("HTTP/1.1 200"); c.Close() }, time.Minute, Written, 0, false, nil},
+		{"broken in the body", func(c *standin.Call) {
+			c.Raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			c.Close()
+		}, time.Minute, Written, 0, false, nil},
+		{"silent", (*standin.Call).Hang, short, Written, 0, true, nil},
+		{"dribbling", (*standin.Call).Dribble, short, Written, 0, true, nil},
+		{"garbage", func(c *standin.Call) { c.Raw("hello\r\n\r\n") }, time.Minute, Answered, 0, false, http1.ErrMalformed},
+		{"too large", func(c *standin.Call) { c.Reply(200, strings.Repeat("x", http1.MaxBody+1)) },
+			time.Minute, Answered, 0, false, http1.ErrBodyTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			opt, s := options(5)
+			b := New(standin.NewBackend(t, c.handle).Addr(), opt)
+			a := b.Exchange(time.Now().Add(c.within), get)
+			if a.Stage != c.stage || a.Status != c.status || a.Timeout() != c.timeout {
+				t.Errorf("got %+v, timeout %t", a, a.Timeout())
+			}
+			if (a.Status == 0) == (a.Err == nil) || c.err != nil && !errors.Is(a.Err, c.err) {
+				t.Errorf("error %v", a.Err)
+			}
+			b.Close()
+			if n := s.free.Load(); n != 5 {
+				t.Errorf("%d of 5 descriptors given back", n)
+			}
+		})
+	}
+}
+
+func TestRefused(t *testing.T) {
+	opt, s := options(5)
+	stopped := standin.NewBackend(t, standin.Echo)
+	stopped.Stop()
+	if a := New(stopped.Addr(), opt).Exchange(soon(), get); a.Stage != Unopened || s.free.Load() != 5 {
+		t.Errorf("got %+v, %d descriptors", a, s.free.Load())
+	}
+}
+
+// A backend that reads nothing: what is not wholly written has never run, and
+// may go elsewhere even if it must not run twice.
+func TestNotWhollyWritten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	huge := func(time.Duration) []byte { return make([]byte, 64<<20) }
+	for _, c := range []struct {
+		name   string
+		end    func(*net.TCPConn)
+		within time.Duration
+	}{
+		{"breaks", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, time.Minute},
+		{"hangs", func(*net.TCPConn) {}, 200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			go func() {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+				c.end(nc.(*net.TCPConn))
+				time.Sleep(time.Second)
+				nc.Close()
+			}()
+			opt, _ := options(5)
+			a := New(ln.Addr().String(), opt).Exchange(time.Now().Add(c.within), huge)
+			if a.Stage != Unopened || a.Err == nil {
+				t.Errorf("got stage %v, %v", a.Stage, a.Err)
+			}
+		})
+	}
+}
+
+func TestReuse(t *testing.T) {
+	opt, s := options(5)
+	backend := standin.NewBackend(t, standin.Echo)
+	b := New(backend.Addr(), opt)
+	for range 3 {
+		if a := b.Exchange(soon(), get); a.Status != 200 || string(a.Body) != "GET /x " {
+			t.Fatalf("got %+v", a)
+		}
+	}
+	if opened, _ := backend.Conns(); opened != 1 || opt.Opened.Load() != 1 {
+		t.Errorf("%d connections opened, %d counted", opened, opt.Opened.Load())
+	}
+	b.Reap(time.Now().Add(6 * time.Second))
+	if s.free.Load() != 4 {
+		t.Error("an idle connection was closed long before its limit")
+	}
+	b.Reap(time.Now().Add(8 * time.Second))
+	if s.free.Load() != 5 {
+		t.Error("an idle connection is kept until close to its limit")
+	}
+	b.Exchange(soon(), get)
+	b.Detach()()
+	if s.free.Load() != 5 {
+		t.Error("a detached connection is still open")
+	}
+	b.Close()
+	b.Exchange(soon(), get)
+	if s.free.Load() != 5 {
+		t.Error("a connection of a closed backend is kept")
+	}
+}
+
+// Guards against a request that must not run twice lost to a connection that
+// its peer had closed while idle.
+func TestClosedWhileIdle(t *testing.T) {
+	opt, _ := options(5)
+	backend := standin.NewBackend(t, func(c *standin.Call) { c.Reply(200, fmt.Sprint(c.N)) })
+	b := New(backend.Addr(), opt)
+	defer b.Close()
+	b.Exchange(soon(), get)
+	backend.Cut()
+	for end := soon(); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, open := backend.Conns(); open == 0 {
+			break
+		}
+	}
+	if a := b.Exchange(soon(), get); a.Status != 200 || string(a.Body) != "2" {
+		t.Errorf("got %+v", a)
+	}
+}
+
+func TestNoDescriptor(t *testing.T) {
+	opt, s := options(1)
+	backend := standin.NewBackend(t, standin.Echo)
+	b := New(backend.Addr(), opt)
+	// With none to spare, a connection is not kept idle.
+	if a := b.Exchange(soon(), get); a.Status != 200 || s.free.Load() != 1 {
+		t.Errorf("got %+v, %d descriptors", a, s.free.Load())
+	}
+	s.Take()
+	if a := b.Exchange(soon(), get); a.Stage != Unsent || backend.Calls() != 1 {
+		t.Errorf("got %+v after %d calls", a, backend.Calls())
+	}
+}
+
+func TestOldest(t *testing.T) {
+	opt, s := options(5)
+	hold := make(chan bool)
+	backend := standin.NewBackend(t, func(c *standin.Call) { <-hold; standin.Echo(c) })
+	b := New(backend.Addr(), opt)
+	if _, ok := b.Oldest(); ok || b.CloseOldest() {
+		t.Error("an idle connection before the first call")
+	}
+	done := make(chan bool)
+	for range 2 {
+		go func() { b.Exchange(soon(), get); done <- true }()
+	}
+	hold <- true
+	hold <- true
+	<-done
+	<-done
+	if _, ok := b.Oldest(); !ok || !b.CloseOldest() || s.free.Load() != 4 {
+		t.Errorf("%d descriptors after one of two was closed", s.free.Load())
+	}
+	b.Close()
+}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -227,8 +227,9 @@
 
 // CloseIdle implements logic.Actions.
 func (d *driver) CloseIdle(backend string) {
+	// Out of use at once, since the module may send to it next; closed later.
 	if b := d.backends[backend]; b != nil {
-		d.later = append(d.later, b.CloseIdle)
+		d.later = append(d.later, b.Detach())
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -46,6 +46,8 @@
 	defaultIdle   = 10 * time.Second
 	defaultDial   = time.Second
 	acceptBackoff = 5 * time.Millisecond
+	restEach      = 5 * time.Millisecond
+	restMost      = 100 * time.Millisecond
 )
 
 // Proxy is one balancer on sockets.
@@ -74,9 +76,9 @@
 		cfg:     cfg,
 		classes: map[string]int{},
 		sockets: newSockets(cfg.Limits.Sockets),
-		clients: newClients(),
 		stats:   newStats(),
 	}
+	p.clients = newClients(p.sockets.Full)
 	for i, c := range cfg.logic.Classes {
 		p.classes[c.Name] = i
 		p.longest = max(p.longest, c.Deadline)
@@ -150,6 +152,7 @@
 		p.enter(Draining)
 		p.listener.SetDeadline(time.Now().Add(drainGrace))
 		<-accepted
+		p.acceptRest()
 	}
 
 	p.enter(Finishing)
@@ -174,20 +177,39 @@
 // accept takes connections until the listener's deadline or its end.
 func (p *Proxy) accept() error {
 	for {
-		p.sockets.wait()
-		nc, err := p.listener.Accept()
-		if err != nil {
-			p.sockets.Give()
-			var ne net.Error
-			if errors.Is(err, net.ErrClosed) || errors.As(err, &ne) && ne.Timeout() {
-				return err
-			}
+		err := p.acceptOne()
+		var ne net.Error
+		switch {
+		case err == nil:
+		case errors.Is(err, net.ErrClosed) || errors.As(err, &ne) && ne.Timeout():
+			return err
+		default:
 			log.Printf("event=accept_failed err=%q", err)
 			time.Sleep(acceptBackoff)
-			continue
 		}
-		p.clients.add()
-		go p.serve(&client{conn: http1.NewConn(nc)})
+	}
+}
+
+func (p *Proxy) acceptOne() error {
+	p.sockets.wait()
+	nc, err := p.listener.Accept()
+	if err != nil {
+		p.sockets.Give()
+		return err
+	}
+	p.clients.add()
+	go p.serve(&client{conn: http1.NewConn(nc)})
+	return nil
+}
+
+// acceptRest takes the connections that the kernel had accepted when the grace
+// was over. Guards against closing on them: what was sent on one would be lost.
+func (p *Proxy) acceptRest() {
+	for end := time.Now().Add(restMost); time.Now().Before(end); {
+		p.listener.SetDeadline(time.Now().Add(restEach))
+		if p.acceptOne() != nil {
+			return
+		}
 	}
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -27,7 +27,6 @@
 )
 
 const (
-	readLimit  = 10 * time.Second // for the rest of a message that has begun
 	writeLimit = 5 * time.Second
 	// maxTimeout is the longest time-out taken for one, in milliseconds.
 	maxTimeout = 24 * 3600 * 1000
@@ -37,7 +36,7 @@
 // returns whether the connection can carry another.
 func (p *Proxy) exchange(c *client) bool {
 	// Read.
-	c.conn.SetReadDeadline(time.Now().Add(readLimit))
+	c.conn.SetReadDeadline(time.Now().Add(p.longest)) // what takes longer to come can't be answered in time
 	req, body, err := c.conn.ReadRequest()
 	c.conn.SetReadDeadline(time.Time{})
 	if err != nil {
@@ -242,7 +241,7 @@
 
 // write writes an answer and returns whether the connection stays.
 func (p *Proxy) write(c *client, status int, header []string, body []byte, last bool) bool {
-	last = last || p.Phase() != Serving
+	last = last || p.Phase() != Serving || p.sockets.Full()
 	b := make([]byte, 0, 256+len(body))
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -65,6 +65,13 @@
 	s.freed.Signal()
 }
 
+// Full tells whether none is left: connections that become idle are closed then.
+func (s *sockets) Full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used >= s.limit
+}
+
 func (s *sockets) relieveIfNear() {
 	s.mu.Lock()
 	near := float64(s.used) >= relieveAbove*float64(s.limit)
--- a/proxy/stats.go
+++ b/proxy/stats.go
@@ -47,10 +47,6 @@
 // log writes the counts so far.
 func (s *stats) log(p *Proxy) {
 	used, most := p.sockets.inUse()
-	opened := uint64(0)
-	for _, b := range p.driver.all() {
-		opened += b.Opened()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.results
@@ -60,5 +56,5 @@
 		r[logic.OK], s.refused.Load(), s.failed.Load(), s.gone.Load(), s.bad.Load(), s.unwritten.Load(),
 		s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99),
 		r[logic.Error], r[logic.Full], r[logic.TimedOut], r[logic.NoConnect], r[logic.Broken], r[logic.NeverSent],
-		opened, used, most, s.lateness.ValueAtQuantile(99), s.lateness.Max())
+		p.driver.opt.Opened.Load(), used, most, s.lateness.ValueAtQuantile(99), s.lateness.Max())
 }
