--- /dev/null
+++ b/cmd/oxbowloft/deploy_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+
+	"oxbowloft/internal/standin"
+)
+
+const root = "../.."
+
+// deployed is the value of a key in the operators' file.
+func deployed(t *testing.T, key string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, "deploy/balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := regexp.MustCompile(`(?m)^` + key + ` = (.*)$`).FindSubmatch(text)
+	if m == nil {
+		t.Fatalf("deploy/balancer.toml has no %s", key)
+	}
+	return strings.Trim(string(m[1]), `"`)
+}
+
+// shell runs a command as the operators do: by the shell, from the root.
+func shell(command string, env ...string) *exec.Cmd {
+	cmd := exec.Command("/bin/sh", "-c", command)
+	cmd.Dir = root
+	cmd.Env = append(os.Environ(), env...)
+	return cmd
+}
+
+// example is the example configuration on free addresses, with backends there.
+func example(t *testing.T) (path, addr string) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, "examples/config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = freeAddr(t)
+	swap := strings.NewReplacer("127.0.0.1:3000", addr, "127.0.0.1:8500", freeAddr(t),
+		"127.0.0.1:9001", standin.NewBackend(t, standin.Echo).Addr(),
+		"127.0.0.1:9002", standin.NewBackend(t, standin.Echo).Addr())
+	return writeConfig(t, swap.Replace(string(text))), addr
+}
+
+// The program is built and started as the operators do, with the example.
+func TestDeploy(t *testing.T) {
+	if out, err := shell(deployed(t, "build")).CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	path, addr := example(t)
+	r := &running{t: t, addr: addr, dead: make(chan error, 1)}
+	r.cmd = shell(deployed(t, "run"), "BALANCER_NAME=n1", "BALANCER_CONFIG="+path)
+	r.cmd.Stdout, r.cmd.Stderr = r, r
+	if err := r.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { r.dead <- r.cmd.Wait() }()
+	r.eventually("ready", func() bool {
+		resp, err := http.Get("http://" + addr + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	http.DefaultClient.CloseIdleConnections()
+	if got := r.dial().ask(post("order", "one tile", 900)); got.status != 200 || got.body != "POST /api one tile" {
+		t.Errorf("got %+v", got)
+	}
+	r.signal(syscall.SIGTERM)
+	if err := r.wait(); err != nil {
+		t.Errorf("exit: %v\n%s", err, r.text())
+	}
+}
+
+// What the operators' file names is there.
+func TestDeployNames(t *testing.T) {
+	for _, key := range []string{"policy", "node"} {
+		var names []string
+		if err := json.Unmarshal([]byte(deployed(t, key)), &names); err != nil {
+			t.Fatalf("%s: %v", key, err)
+		}
+		for _, name := range names {
+			if _, err := os.Stat(filepath.Join(root, name)); err != nil {
+				t.Errorf("%s: %v", key, err)
+			}
+		}
+	}
+}
+
+// The README's requests, against its example, bring what it says.
+func TestReadme(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join(root, "README.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path, addr := example(t)
+	r := &running{t: t, addr: addr, dead: make(chan error, 1)}
+	r.cmd = exec.Command(program, "serve", path)
+	r.cmd.Stdout, r.cmd.Stderr = r, r
+	if err := r.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { r.dead <- r.cmd.Wait() }()
+	r.eventually("ready", func() bool { return strings.Contains(r.text(), "phase=serving") })
+	lines := regexp.MustCompile(`(?m)^    curl -i 127\.0\.0\.1:3000(/\S*)(.*)$`).FindAllStringSubmatch(string(text), -1)
+	if len(lines) != 3 {
+		t.Fatalf("%d requests in the README", len(lines))
+	}
+	for _, line := range lines {
+		method, body := "GET", ""
+		if d := regexp.MustCompile(`-d '(.*)'`).FindStringSubmatch(line[2]); d != nil {
+			method, body = "POST", d[1]
+		}
+		req, err := http.NewRequest(method, "http://"+addr+line[1], strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range regexp.MustCompile(`-H '(.*?): (.*?)'`).FindAllStringSubmatch(line[2], -1) {
+			req.Header.Set(h[1], h[2])
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Errorf("%s: %s", line[0], resp.Status)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	r.signal(syscall.SIGTERM)
+	if err := r.wait(); err != nil {
+		t.Errorf("exit: %v\n%s", err, r.text())
+	}
+}
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,345 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"oxbowloft/internal/http1"
+	"oxbowloft/internal/standin"
+	"oxbowloft/internal/upstream"
+	"oxbowloft/logic"
+)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// listening is a proxy that listens and does not run yet.
+func listening(t *testing.T, known, discovery string) *Proxy {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := standin.Config("127.0.0.1:0", discovery, 256, known)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := Load(path, os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Phase() != Starting || p.Ready() {
+		t.Error("ready before it runs")
+	}
+	if err := p.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// run runs a proxy in this process, before backends known from the start.
+func run(t *testing.T, known, discovery string) (p *Proxy, stop func()) {
+	t.Helper()
+	p = listening(t, known, discovery)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	eventually(t, "ready", p.Ready)
+	return p, func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if p.Phase() != Stopped {
+			t.Errorf("ended in phase %v", p.Phase())
+		}
+	}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func text(class string, ms int) string {
+	return fmt.Sprintf("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: 1\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n\r\n",
+		class, ms)
+}
+
+// ask makes one request on a connection of its own, or on c.
+func ask(t *testing.T, c net.Conn, class string, ms int) (int, string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text(class, ms)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func descriptors(t *testing.T) int {
+	t.Helper()
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// After a life with every kind of end of a request, no goroutine, descriptor or
+// state of a request is left.
+func TestNothingIsLeft(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	before := descriptors(t)
+	t.Run("life", func(t *testing.T) {
+		b := standin.NewBackend(t, func(c *standin.Call) {
+			switch c.Header.Get("X-Priority-Class") {
+			case "get":
+				standin.Echo(c)
+			case "put":
+				c.Reset()
+			default:
+				c.Hang()
+			}
+		})
+		list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+		p, stop := run(t, list, standin.NewDiscovery(t, list).Addr())
+		c := dial(t, p)
+		if status, _ := ask(t, c, "get", 2000); status != 200 {
+			t.Errorf("got %d", status)
+		}
+		if status, _ := ask(t, c, "put", 500); status != 503 && status != 502 {
+			t.Errorf("got %d for one that breaks", status)
+		}
+		if status, _ := ask(t, c, "pay", 300); status != 502 {
+			t.Errorf("got %d for one that hangs", status)
+		}
+		if status, _ := ask(t, c, "none", 300); status != 400 {
+			t.Errorf("got %d for an unknown class", status)
+		}
+		calls := b.Calls()
+		left := dial(t, p)
+		io.WriteString(left, text("pay", 400))
+		eventually(t, "an attempt", func() bool { return b.Calls() > calls })
+		left.Close()
+		dial(t, p) // says nothing
+		half := dial(t, p)
+		io.WriteString(half, "GET /ap")
+		eventually(t, "the calls' state forgotten", func() bool {
+			p.driver.mu.Lock()
+			defer p.driver.mu.Unlock()
+			return len(p.driver.calls) == 0
+		})
+		stop()
+		if used, _ := p.sockets.inUse(); used != 0 {
+			t.Errorf("%d of the budget in use after the end", used)
+		}
+	})
+	eventually(t, "as many descriptors as before", func() bool { return descriptors(t) <= before+1 })
+}
+
+// Guards against times of starts that are held against another clock than the
+// module's: a backend that has just started would pass for a warm one.
+func TestColdByTheWallClock(t *testing.T) {
+	cold, warm := standin.NewBackend(t, standin.Echo), standin.NewBackend(t, standin.Echo)
+	now := fmt.Sprintf(`"boot_ms":%d`, time.Now().UnixMilli())
+	long := fmt.Sprintf(`"boot_ms":%d`, time.Now().Add(-time.Hour).UnixMilli())
+	list := standin.List(1, true,
+		strings.Replace(standin.Target("s-1", cold.Addr()), `"boot_ms":0`, now, 1),
+		strings.Replace(standin.Target("s-2", warm.Addr()), `"boot_ms":0`, long, 1))
+	p, stop := run(t, list, standin.NewDiscovery(t, list).Addr())
+	defer stop()
+	c := dial(t, p)
+	for range 200 {
+		if status, _ := ask(t, c, "get", 2000); status != 200 {
+			t.Fatalf("got %d", status)
+		}
+	}
+	if n := cold.Calls(); n >= 100 {
+		t.Errorf("the cold backend got %d of 200 calls", n)
+	}
+	if n := warm.Calls(); n < 100 {
+		t.Errorf("the warm backend got %d of 200 calls", n)
+	}
+}
+
+func TestClock(t *testing.T) {
+	c := clock{time.Now()}
+	boot := time.Now().Add(-5 * time.Second).Round(0) // by the wall clock alone
+	if age := c.now() - logic.Time(boot.UnixNano()); age < 4*time.Second || age > time.Minute {
+		t.Errorf("5 s ago was %v ago", age)
+	}
+	last := c.now()
+	for range 1000 {
+		now := c.now()
+		if now < last {
+			t.Fatalf("went back by %v", last-now)
+		}
+		last = now
+	}
+}
+
+func TestOutcome(t *testing.T) {
+	notProcessed := http.Header{"X-Not-Processed": {"1"}}
+	for _, c := range []struct {
+		name string
+		a    upstream.Answer
+		want logic.Result
+	}{
+		{"served", upstream.Answer{Stage: upstream.Answered, Status: 200}, logic.OK},
+		{"error", upstream.Answer{Stage: upstream.Answered, Status: 500}, logic.Error},
+		{"another status", upstream.Answer{Stage: upstream.Answered, Status: 404}, logic.Error},
+		{"turned away", upstream.Answer{Stage: upstream.Answered, Status: 503, Header: notProcessed}, logic.Full},
+		{"over already", upstream.Answer{Stage: upstream.Answered, Status: 504, Header: notProcessed}, logic.Full},
+		{"503 alone", upstream.Answer{Stage: upstream.Answered, Status: 503}, logic.Error},
+		{"500 that says it never ran", upstream.Answer{Stage: upstream.Answered, Status: 500, Header: notProcessed}, logic.Error},
+		{"malformed", upstream.Answer{Stage: upstream.Answered, Err: http1.ErrMalformed}, logic.Error},
+		{"not connected", upstream.Answer{Stage: upstream.Unopened, Err: io.EOF}, logic.NoConnect},
+		{"no time to connect", upstream.Answer{Stage: upstream.Unopened, Err: os.ErrDeadlineExceeded}, logic.NoConnect},
+		{"broken", upstream.Answer{Stage: upstream.Written, Err: io.ErrUnexpectedEOF}, logic.Broken},
+		{"timed out", upstream.Answer{Stage: upstream.Written, Err: os.ErrDeadlineExceeded}, logic.TimedOut},
+		{"no descriptor", upstream.Answer{Stage: upstream.Unsent, Err: io.EOF}, logic.NeverSent},
+	} {
+		if got := outcome(&c.a); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestSocketsBudget(t *testing.T) {
+	s := newSockets(ownSockets + 16)
+	relieved := 0
+	s.relieve = func() { relieved++ }
+	taken := 0
+	for s.Take() {
+		taken++
+	}
+	if taken != 14 {
+		t.Errorf("backends got %d of 16", taken)
+	}
+	if relieved == 0 {
+		t.Error("near the end, idle connections were not closed")
+	}
+	s.wait()
+	s.wait()
+	if !s.Full() {
+		t.Error("not full")
+	}
+	got := make(chan bool)
+	go func() { s.wait(); got <- true }()
+	select {
+	case <-got:
+		t.Error("a client got one over the budget")
+	case <-time.After(20 * time.Millisecond):
+	}
+	s.Give()
+	<-got
+	if used, most := s.inUse(); used != 16 || most != 16 {
+		t.Errorf("%d in use, %d at most", used, most)
+	}
+}
+
+func TestForward(t *testing.T) {
+	req, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST http://h/a?b=%20 HTTP/1.1\r\nHost: h\r\n" +
+		"Connection: keep-alive\r\nX-Timeout-Ms: 480\r\nX-Request-ID: 9f\r\nContent-Length: 2\r\n\r\nhi")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := string(forward(req, "backend:1", []byte("hi"), 79900*time.Microsecond))
+	want := "POST /a?b=%20 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9f\r\nX-Timeout-Ms: 79\r\nContent-Length: 2\r\n\r\nhi"
+	if got != want {
+		t.Errorf("got\n%q, want\n%q", got, want)
+	}
+}
+
+// Guards against closing on connections that the kernel had accepted when the
+// drain's grace was over: the requests on them would be lost.
+func TestAcceptedAtTheEnd(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	p := listening(t, list, standin.NewDiscovery(t, list).Addr())
+	var conns []net.Conn
+	for range 20 {
+		c := dial(t, p)
+		io.WriteString(c, text("get", 2000))
+		conns = append(conns, c)
+	}
+	p.listener.SetDeadline(time.Unix(1, 0)) // the grace is over
+	if err := p.accept(); err == nil {
+		t.Fatal("still accepting")
+	}
+	p.acceptRest()
+	p.listener.Close()
+	for i, c := range conns {
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+			t.Errorf("connection %d: got %v, %v", i, resp, err)
+		}
+		c.Close()
+	}
+	<-p.clients.close()
+	for _, b := range p.driver.all() {
+		b.Close()
+	}
+}
+
+// With no descriptor left, an answer says that its connection ends, so that the
+// next request is not sent on one that is about to close.
+func TestFullSaysClose(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	p, stop := run(t, list, standin.NewDiscovery(t, list).Addr())
+	defer stop()
+	c := dial(t, p)
+	if status, _ := ask(t, c, "get", 2000); status != 200 {
+		t.Fatalf("got %d", status)
+	}
+	set := func(f func(s *sockets)) {
+		p.sockets.mu.Lock()
+		defer p.sockets.mu.Unlock()
+		f(p.sockets)
+	}
+	before := 0
+	set(func(s *sockets) { before, s.used = s.limit-s.used, s.limit })
+	io.WriteString(c, text("get", 2000))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("got %+v, %v", resp, err)
+	}
+	set(func(s *sockets) { s.used -= before })
+}
