--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -11,8 +11,6 @@
 // clients are the connections from callers. The idle ones are kept in order, so
 // that the one idle for longest can be asked to close.
 type clients struct {
-	full func() bool // descriptors are used up: none may become idle
-
 	mu      sync.Mutex
 	idle    *list.List // of *client, oldest first
 	open    int
@@ -26,8 +24,8 @@
 	nudged bool
 }
 
-func newClients(full func() bool) *clients {
-	return &clients{full: full, idle: list.New(), empty: make(chan struct{})}
+func newClients() *clients {
+	return &clients{idle: list.New(), empty: make(chan struct{})}
 }
 
 func (s *clients) add() {
@@ -70,11 +68,10 @@
 }
 
 func (s *clients) rest(c *client) {
-	full := s.full()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.place = s.idle.PushBack(c)
-	if s.closing || full {
+	if s.closing {
 		c.nudge()
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -76,9 +76,9 @@
 		cfg:     cfg,
 		classes: map[string]int{},
 		sockets: newSockets(cfg.Limits.Sockets),
+		clients: newClients(),
 		stats:   newStats(),
 	}
-	p.clients = newClients(p.sockets.Full)
 	for i, c := range cfg.logic.Classes {
 		p.classes[c.Name] = i
 		p.longest = max(p.longest, c.Deadline)
