Connections from before a backend's restart are closed; a client that half-closes is answered

Where the list tells a new start, connections from before are closed (driver.place). A client that ends its own side after asking got no answer unless it was a 200 (exchange, the step gone); it now gets one on every path.

Each has a test that was seen to fail without it. Stand-in settings let idle connections stand long, since a test of their closing passed by the idle limit alone.

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -503,6 +503,33 @@
 	}
 }
 
+// Guards against no answer at all to a client that ends its own side once it
+// has asked, and still reads.
+func TestHalfClosed(t *testing.T) {
+	release := make(chan bool)
+	r := startOn(t, standin.NewBackend(t, func(c *standin.Call) {
+		<-release
+		if c.Method == "POST" {
+			c.Reset()
+			return
+		}
+		standin.Echo(c)
+	}))
+	for _, c := range []struct {
+		text   string
+		status int
+	}{{get(2000), 200}, {post("pay", "x", 2000), 502}} {
+		cl := r.dial()
+		cl.send(c.text)
+		cl.Conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(20 * time.Millisecond) // so that it is most likely noticed first
+		release <- true
+		if got := cl.read(); got.status != c.status || !cl.ended() {
+			t.Errorf("got %+v, want %d and the end", got, c.status)
+		}
+	}
+}
+
 func TestBadRequests(t *testing.T) {
 	b := standin.NewBackend(t, standin.Echo)
 	r := startOn(t, b)
@@ -581,6 +608,17 @@
 	r.eventually("the new endpoint", served("b"))
 	r.eventually("old idle connections closed", func() bool { _, open := a.Conns(); return open == 0 })
 
+	// It has started again: connections from before are not used.
+	opened, _ := b.Conns()
+	d.Push(standin.List(4, false, strings.Replace(standin.Target("s-1", b.Addr()), `"boot_ms":0`, `"boot_ms":1000`, 1)))
+	r.eventually("connections from before closed", func() bool { _, open := b.Conns(); return open == 0 })
+	if !served("b")() {
+		t.Error("not served after it started again")
+	}
+	if again, _ := b.Conns(); again != opened+1 {
+		t.Errorf("%d connections opened, then %d", opened, again)
+	}
+
 	// It drains: nothing new goes to it.
 	d.Push(standin.List(5, false, standin.TargetIn("terminating", "s-1", b.Addr()), standin.Target("s-2", a.Addr())))
 	r.eventually("the other backend", served("a"))
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -20,7 +20,8 @@
 }
 
 // Config is a configuration with three classes: "get" may run any number of
-// times, "put" carries a key, "pay" must not run twice.
+// times, "put" carries a key, "pay" must not run twice. Idle connections may stand
+// longer than a test waits, so that a test sees who closes them.
 func Config(listen, discovery string, sockets int, known string) string {
 	return fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
@@ -30,6 +31,6 @@
 {"name":"get","aim-ms":800,"give-up-ms":2000,"group":"all","idempotency":"free","worth":1},
 {"name":"put","aim-ms":800,"give-up-ms":2000,"group":"all","idempotency":"guarded","memory-span-ms":5000,"worth":1},
 {"name":"pay","aim-ms":800,"give-up-ms":2000,"group":"all","idempotency":"single_shot","worth":1}],
-"limits":{"conn-idle-ms":10000,"dial-timeout-ms":200,"max-attempts":4,"retry-after":true,"max-retry-after-ms":1500},
+"limits":{"conn-idle-ms":60000,"dial-timeout-ms":200,"max-attempts":4,"retry-after":true,"max-retry-after-ms":1500},
 "rules":{"ask-within-ms":4000,"cold-from":0.2,"warm-within-ms":10000}}}`, listen, discovery, sockets, known)
 }
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -34,11 +34,17 @@
 	mu       sync.Mutex
 	balancer *logic.Balancer
 	calls    map[string]*call
-	backends map[string]*upstream.Backend
+	backends map[string]place
 	serial   uint64
 	later    []func()
 }
 
+// place is where a backend is, since when.
+type place struct {
+	*upstream.Backend
+	boot int64
+}
+
 // call is one request in the module's hands.
 type call struct {
 	id    string
@@ -72,7 +78,7 @@
 		ask:      ask,
 		stats:    st,
 		calls:    map[string]*call{},
-		backends: map[string]*upstream.Backend{},
+		backends: map[string]place{},
 	}
 	d.do(func(now logic.Time) { d.balancer = logic.New(now, cfg.logic, d) })
 	return d
@@ -153,7 +159,7 @@
 	d.do(func(now logic.Time) {
 		for _, t := range l.Targets {
 			if t.State != discovery.Terminated {
-				d.place(t.UID, t.Endpoint)
+				d.place(t)
 			}
 		}
 		for uid, b := range d.backends {
@@ -166,16 +172,18 @@
 	})
 }
 
-// place makes sure that the backend uid is reached at addr.
-func (d *driver) place(uid, addr string) {
-	b := d.backends[uid]
-	if b != nil && b.Addr == addr {
+// place makes sure that a backend is reached where the list says. Connections
+// from before it moved or started again are of no use: guards against calls
+// broken on those that a machine left open when it vanished.
+func (d *driver) place(t discovery.Target) {
+	b, ok := d.backends[t.UID]
+	if ok && b.Addr == t.Endpoint && b.boot == t.Boot {
 		return
 	}
-	if b != nil {
+	if ok {
 		d.later = append(d.later, b.Close)
 	}
-	d.backends[uid] = upstream.New(addr, d.opt)
+	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot}
 }
 
 func (d *driver) listFailed() {
@@ -188,7 +196,7 @@
 	defer d.mu.Unlock()
 	out := make([]*upstream.Backend, 0, len(d.backends))
 	for _, b := range d.backends {
-		out = append(out, b)
+		out = append(out, b.Backend)
 	}
 	return out
 }
@@ -202,7 +210,7 @@
 // Send implements logic.Actions.
 func (d *driver) Send(request, backend string, timeout time.Duration) {
 	r := d.calls[request]
-	r.steps <- step{kind: stepSend, attempt: r.sends, to: d.backends[backend], sent: time.Now(), timeout: timeout}
+	r.steps <- step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now(), timeout: timeout}
 	r.sends++
 }
 
@@ -228,7 +236,7 @@
 // CloseIdle implements logic.Actions.
 func (d *driver) CloseIdle(backend string) {
 	// Out of use at once, since the module may send to it next; closed later.
-	if b := d.backends[backend]; b != nil {
+	if b, ok := d.backends[backend]; ok {
 		d.later = append(d.later, b.Detach())
 	}
 }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -85,7 +85,9 @@
 			p.stats.failed.Add(1)
 			return p.answer(c, req, http.StatusBadGateway, nil, "failed")
 		case stepGone:
+			// It may have ended its own side alone, and still read.
 			p.stats.gone.Add(1)
+			p.answer(c, req, http.StatusBadGateway, nil, "client left")
 			return false
 		}
 	}
