--- a/cmd/oxbowloft/deploy_test.go
+++ b/cmd/oxbowloft/deploy_test.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"syscall"
 	"testing"
 
 	"oxbowloft/internal/standin"
@@ -58,13 +57,7 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	path, addr := example(t)
-	r := &running{t: t, addr: addr, dead: make(chan error, 1)}
-	r.cmd = shell(deployed(t, "run"), "BALANCER_NAME=n1", "BALANCER_CONFIG="+path)
-	r.cmd.Stdout, r.cmd.Stderr = r, r
-	if err := r.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() { r.dead <- r.cmd.Wait() }()
+	r := launch(t, shell(deployed(t, "run"), "BALANCER_NAME=n1", "BALANCER_CONFIG="+path), addr)
 	r.eventually("ready", func() bool {
 		resp, err := http.Get("http://" + addr + "/healthz")
 		if err != nil {
@@ -77,10 +70,6 @@
 	if got := r.dial().ask(post("order", "one tile", 900)); got.status != 200 || got.body != "POST /api one tile" {
 		t.Errorf("got %+v", got)
 	}
-	r.signal(syscall.SIGTERM)
-	if err := r.wait(); err != nil {
-		t.Errorf("exit: %v\n%s", err, r.text())
-	}
 }
 
 // What the operators' file names is there.
@@ -105,14 +94,7 @@
 		t.Fatal(err)
 	}
 	path, addr := example(t)
-	r := &running{t: t, addr: addr, dead: make(chan error, 1)}
-	r.cmd = exec.Command(program, "serve", path)
-	r.cmd.Stdout, r.cmd.Stderr = r, r
-	if err := r.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() { r.dead <- r.cmd.Wait() }()
-	r.eventually("ready", func() bool { return strings.Contains(r.text(), "phase=serving") })
+	launch(t, exec.Command(program, "serve", path), addr)
 	lines := regexp.MustCompile(`(?m)^    curl -i 127\.0\.0\.1:3000(/\S*)(.*)$`).FindAllStringSubmatch(string(text), -1)
 	if len(lines) != 3 {
 		t.Fatalf("%d requests in the README", len(lines))
@@ -139,8 +121,4 @@
 		}
 	}
 	http.DefaultClient.CloseIdleConnections()
-	r.signal(syscall.SIGTERM)
-	if err := r.wait(); err != nil {
-		t.Errorf("exit: %v\n%s", err, r.text())
-	}
 }
--- a/cmd/oxbowloft/main.go
+++ b/cmd/oxbowloft/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -37,7 +38,8 @@
 }
 
 func serve() *cobra.Command {
-	return &cobra.Command{
+	var grace time.Duration
+	cmd := &cobra.Command{
 		Use:   "serve [config.json]",
 		Short: "Balance until SIGTERM, as the configuration ($BALANCER_CONFIG) says",
 		Args:  cobra.MaximumNArgs(1),
@@ -46,6 +48,7 @@
 			if err != nil {
 				return err
 			}
+			cfg.Grace = grace
 			cfg.Limits.Tune()
 			p, err := proxy.New(cfg)
 			if err != nil {
@@ -56,6 +59,8 @@
 			return p.Run(ctx)
 		},
 	}
+	cmd.Flags().DurationVar(&grace, "grace", proxy.DefaultGrace, "how long a drain goes on accepting")
+	return cmd
 }
 
 func check() *cobra.Command {
--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -36,6 +36,7 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
 	}
+	os.Setenv("GORACE", "atexit_sleep_ms=0") // the race detector would hold each exit for a second
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
@@ -49,6 +50,7 @@
 	cmd  *exec.Cmd
 	addr string
 	dead chan error
+	over bool // waited for
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -87,19 +89,29 @@
 // start starts the program with a known list and waits until it is ready. At
 // the end of the test it must still run, unless the test has ended it, and must
 // then end on SIGTERM without a complaint.
-func start(t *testing.T, discovery string, sockets int, known string) *running {
+func start(t *testing.T, discovery string, sockets int, known string, args ...string) *running {
 	t.Helper()
-	r := &running{t: t, addr: freeAddr(t), dead: make(chan error, 1)}
-	r.cmd = exec.Command(program, "serve")
-	r.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+
-		writeConfig(t, standin.Config(r.addr, discovery, sockets, known)))
-	r.cmd.Stdout, r.cmd.Stderr = r, r
-	if err := r.cmd.Start(); err != nil {
+	addr := freeAddr(t)
+	if len(args) == 0 {
+		args = []string{"--grace", "20ms"}
+	}
+	cmd := exec.Command(program, append([]string{"serve"}, args...)...)
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+
+		writeConfig(t, standin.Config(addr, discovery, sockets, known)))
+	return launch(t, cmd, addr)
+}
+
+// launch starts cmd, which is to listen at addr.
+func launch(t *testing.T, cmd *exec.Cmd, addr string) *running {
+	t.Helper()
+	r := &running{t: t, cmd: cmd, addr: addr, dead: make(chan error, 1)}
+	cmd.Stdout, cmd.Stderr = r, r
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { r.dead <- r.cmd.Wait() }()
+	go func() { r.dead <- cmd.Wait() }()
 	t.Cleanup(func() {
-		if r.cmd.ProcessState == nil {
+		if !r.over {
 			r.signal(syscall.SIGTERM)
 			if err := r.wait(); err != nil {
 				t.Errorf("exit: %v", err)
@@ -107,7 +119,7 @@
 		}
 		for _, bad := range []string{"DATA RACE", "panic"} {
 			if strings.Contains(r.text(), bad) {
-				t.Errorf("%s in the log:\n%s", bad, r.text())
+				t.Errorf("%s in the log", bad)
 			}
 		}
 		if t.Failed() {
@@ -144,6 +156,7 @@
 // wait waits for the end of the program.
 func (r *running) wait() error {
 	r.t.Helper()
+	r.over = true
 	select {
 	case err := <-r.dead:
 		return err
@@ -321,6 +334,26 @@
 	}
 }
 
+// counter counts the calls to several backends together.
+type counter struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counter) next() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	return c.n
+}
+
+func (c *counter) set(n int) (before int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, c.n = c.n, n
+	return before
+}
+
 // warm makes good calls until the module lets one in ten be repeated.
 func (r *running) warm(c *conn) {
 	r.t.Helper()
@@ -358,35 +391,23 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			var mu sync.Mutex
-			calls := 0
+			calls := counter{n: 1} // none is the first yet
 			handle := func(call *standin.Call) {
-				mu.Lock()
-				calls++
-				n := calls
-				mu.Unlock()
-				if n == 1 {
+				if calls.next() == 1 {
 					c.first(call)
 					return
 				}
 				standin.Echo(call)
 			}
-			count := func(set int) (n int) {
-				mu.Lock()
-				defer mu.Unlock()
-				n, calls = calls, set
-				return n
-			}
-			calls = 1 // none is the first yet
 			r := startOn(t, standin.NewBackend(t, handle), standin.NewBackend(t, handle))
 			cl := r.dial()
 			r.warm(cl)
-			count(0)
+			calls.set(0)
 			began := time.Now()
 			if got := cl.ask(get(2000)); got.status != 200 || got.body != "GET /api " {
 				t.Errorf("may run again: got %d %q", got.status, got.body)
 			}
-			if n := count(0); n != 2 {
+			if n := calls.set(0); n != 2 {
 				t.Errorf("may run again: %d calls", n)
 			}
 			if took := time.Since(began); took > 2*time.Second {
@@ -396,7 +417,7 @@
 			if got := cl.ask(post("pay", "x", 1000)); got.status != c.pay {
 				t.Errorf("must not run twice: got %d %q", got.status, got.body)
 			}
-			if n := count(1); n != c.payCalled {
+			if n := calls.set(1); n != c.payCalled {
 				t.Errorf("must not run twice: %d calls", n)
 			}
 			if took := time.Since(began); took > 1070*time.Millisecond+patience/10 {
@@ -444,13 +465,9 @@
 // attempt goes out.
 func TestGivenUpIsClosed(t *testing.T) {
 	closed := make(chan bool, 1)
-	var mu sync.Mutex
-	calls := 0
+	calls := counter{n: 2} // neither the first nor the second yet
 	handle := func(c *standin.Call) {
-		mu.Lock()
-		calls++
-		n := calls
-		mu.Unlock()
+		n := calls.next()
 		if n == 1 {
 			c.Hang()
 			closed <- true
@@ -468,20 +485,15 @@
 			c.Reply(500, "the first attempt is still out")
 		}
 	}
-	calls = 2 // neither the first nor the second yet
 	r := startOn(t, standin.NewBackend(t, handle), standin.NewBackend(t, handle))
 	c := r.dial()
 	r.warm(c)
-	mu.Lock()
-	calls = 0
-	mu.Unlock()
+	calls.set(0)
 	if got := c.ask(get(2000)); got.status != 200 {
 		t.Errorf("got %+v", got)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	if calls != 2 {
-		t.Errorf("%d calls", calls)
+	if n := calls.set(0); n != 2 {
+		t.Errorf("%d calls", n)
 	}
 }
 
@@ -701,12 +713,13 @@
 		}
 		standin.Echo(c)
 	})
-	r := startOn(t, b)
+	list := standin.List(1, true, standin.Target("s-0", b.Addr()))
+	r := start(t, standin.NewDiscovery(t, list).Addr(), 256, list, "--grace", "4s")
 	idle, busy := r.dial(), r.dial()
 	if got := idle.ask(get(2000)); got.status != 200 {
 		t.Fatalf("got %+v", got)
 	}
-	busy.send(post("pay", "x", 2000))
+	busy.send(post("pay", "x", 8000))
 	r.eventually("the attempt", func() bool { return b.Calls() == 2 })
 	r.signal(syscall.SIGTERM)
 	r.eventually("draining", func() bool { return strings.Contains(r.text(), "phase=draining") })
@@ -764,19 +777,8 @@
 	}
 	r.signal(syscall.SIGKILL)
 	r.wait()
-	again := exec.Command(program, "serve", writeConfig(t, standin.Config(r.addr, d.Addr(), 256, list)))
-	if err := again.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { again.Process.Kill(); again.Wait() }()
-	r.eventually("ready again", func() bool {
-		c, err := net.Dial("tcp", r.addr)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	})
-	if got := r.dial().ask(get(2000)); got.status != 200 {
+	again := launch(t, exec.Command(program, "serve", writeConfig(t, standin.Config(r.addr, d.Addr(), 256, list))), r.addr)
+	if got := again.dial().ask(get(2000)); got.status != 200 {
 		t.Errorf("got %+v", got)
 	}
 }
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"oxbowloft/internal/discovery"
 	"oxbowloft/internal/settings"
@@ -27,6 +28,9 @@
 	Known     *json.RawMessage `json:"known"`
 	Settings  *settings.Object `json:"settings"`
 
+	// Grace is how long a drain goes on accepting; 0: DefaultGrace.
+	Grace time.Duration `json:"-"`
+
 	known *discovery.List
 	logic logic.Settings
 }
@@ -38,6 +42,10 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// DefaultGrace is for callers that hear of a proxy's end within a part of a
+// second after it begins.
+const DefaultGrace = 550 * time.Millisecond
+
 // What a configuration without limits is taken to say, and the least that a
 // proxy can work with.
 const (
@@ -88,7 +96,12 @@
 	if c.Limits.Sockets == 0 {
 		c.Limits.Sockets = defaultSockets
 	}
+	if c.Grace == 0 {
+		c.Grace = DefaultGrace
+	}
 	switch {
+	case c.Grace < 0:
+		return errors.New("grace below zero")
 	case c.Limits.Cores < 0:
 		return errors.New("limits: cores below zero")
 	case c.Limits.MemoryMB < 0:
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"log"
 	"strconv"
 	"sync"
 	"time"
@@ -155,7 +154,6 @@
 		lines = append(lines, line)
 		named[t.UID] = t.State != discovery.Terminated
 	}
-	log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
 	d.do(func(now logic.Time) {
 		for _, t := range l.Targets {
 			if t.State != discovery.Terminated {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -36,9 +36,6 @@
 func (p Phase) String() string { return phases[p] }
 
 const (
-	// drainGrace is how long new connections are still taken: callers hear of a
-	// proxy's end a little after it begins.
-	drainGrace = 550 * time.Millisecond
 	// finishSlack is what is left after the longest deadline to write answers.
 	finishSlack   = 100 * time.Millisecond
 	reapEvery     = 500 * time.Millisecond
@@ -96,7 +93,11 @@
 	}
 	p.list = discovery.New(cfg.Discovery, cfg.known.Rev)
 	p.driver = newDriver(cfg, opt, p.list.Ask, p.stats)
-	p.list.OnList, p.list.OnFailed = p.driver.list, p.driver.listFailed
+	p.list.OnFailed = p.driver.listFailed
+	p.list.OnList = func(l *discovery.List) {
+		log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
+		p.driver.list(l)
+	}
 	p.sockets.relieve = p.relieve
 	p.driver.list(cfg.known)
 	return p, nil
@@ -141,6 +142,8 @@
 	p.start(func() { p.list.Run(background) })
 	p.start(func() { p.housekeeping(background) })
 
+	log.Printf("event=start name=%q listen=%s tier=%d known=%d",
+		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known())
 	p.enter(Serving)
 	accepted := make(chan error, 1)
 	p.start(func() { accepted <- p.accept() })
@@ -150,7 +153,7 @@
 		err = fmt.Errorf("accept: %w", err)
 	case <-ctx.Done():
 		p.enter(Draining)
-		p.listener.SetDeadline(time.Now().Add(drainGrace))
+		p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
 		<-accepted
 		p.acceptRest()
 	}
