A crowd of half-sent requests no longer holds the descriptors

Found with a test of 300 connections that send a part of a request each, at 256 descriptors: accepting stood still until the parts timed out, since only connections without a byte counted as idle. As many are asked to close as there are too many, not one for each new connection: with one, the request behind the crowd was refused for want of a descriptor to pass it on. A 408 no longer holds its descriptor for a second more.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -73,13 +73,13 @@
 		cfg:     cfg,
 		classes: map[string]int{},
 		sockets: newSockets(cfg.Limits.Sockets),
-		clients: newClients(),
 		stats:   newStats(),
 	}
 	for i, c := range cfg.logic.Classes {
 		p.classes[c.Name] = i
 		p.longest = max(p.longest, c.Deadline)
 	}
+	p.clients = newClients(p.longest) // what takes longer to come can't be answered in time
 	opt := &upstream.Options{
 		DialTimeout: settings.Duration(cfg.Settings.Limits.DialTimeout),
 		IdleLimit:   settings.Duration(cfg.Settings.Limits.ConnIdle),
@@ -221,13 +221,13 @@
 	defer p.clients.remove()
 	defer p.sockets.Give()
 	defer c.conn.Close()
-	for p.clients.await(c) && p.exchange(c) {
+	for p.exchange(c) {
 	}
 }
 
-// relieve frees descriptors: the connections of either side that have been idle
-// for longest.
-func (p *Proxy) relieve() {
+// relieve frees descriptors: of backends' connections the one that has been
+// idle for longest, of callers' as many as there are too many.
+func (p *Proxy) relieve(excess int) {
 	var oldest *upstream.Backend
 	var since time.Time
 	for _, b := range p.driver.all() {
@@ -238,7 +238,7 @@
 	if oldest != nil {
 		oldest.CloseOldest()
 	}
-	p.clients.nudgeOldest()
+	p.clients.nudgeOldest(excess)
 }
 
 // housekeeping closes connections to backends that have been idle for long, and
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -56,11 +56,17 @@
 func run(t *testing.T, known, discovery string) (p *Proxy, stop func()) {
 	t.Helper()
 	p = listening(t, known, discovery)
+	return p, running(t, p)
+}
+
+// running runs a proxy until stop is called.
+func running(t *testing.T, p *Proxy) (stop func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- p.Run(ctx) }()
 	eventually(t, "ready", p.Ready)
-	return p, func() {
+	return func() {
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
@@ -245,7 +251,7 @@
 func TestSocketsBudget(t *testing.T) {
 	s := newSockets(ownSockets + 16)
 	relieved := 0
-	s.relieve = func() { relieved++ }
+	s.relieve = func(int) { relieved++ }
 	taken := 0
 	for s.Take() {
 		taken++
@@ -367,3 +373,26 @@
 	})
 	eventually(t, "closed", func() bool { _, open := b.Conns(); return open == 0 })
 }
+
+// Guards against a crowd that sends a part of a request each and no more: it
+// would hold all descriptors for as long as a request may take to come.
+func TestCrowdOfParts(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	p := listening(t, list, standin.NewDiscovery(t, list).Addr())
+	p.clients.partLimit = time.Hour
+	stop := running(t, p)
+	var crowd []net.Conn
+	for range 300 {
+		c := dial(t, p)
+		io.WriteString(c, "POST /api HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel")
+		crowd = append(crowd, c)
+	}
+	if status, _ := ask(t, dial(t, p), "get", 2000); status != 200 {
+		t.Errorf("got %d", status)
+	}
+	for _, c := range crowd {
+		c.Close()
+	}
+	stop()
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -32,13 +32,11 @@
 	maxTimeout = 24 * 3600 * 1000
 )
 
-// exchange is the life of one request, from its first byte to its answer. It
+// exchange is the life of one request, from the wait for it to its answer. It
 // returns whether the connection can carry another.
 func (p *Proxy) exchange(c *client) bool {
 	// Read.
-	c.conn.SetReadDeadline(time.Now().Add(p.longest)) // what takes longer to come can't be answered in time
-	req, body, err := c.conn.ReadRequest()
-	c.conn.SetReadDeadline(time.Time{})
+	req, body, err := p.clients.next(c)
 	if err != nil {
 		p.unreadable(c, err)
 		return false
@@ -290,6 +288,9 @@
 	p.stats.bad.Add(1)
 	log.Printf("event=bad_request status=%d client=%s err=%q", code, c.conn.RemoteAddr(), err)
 	p.write(c, code, nil, []byte(http.StatusText(code)+"\n"), true)
+	if code == http.StatusRequestTimeout {
+		return // all that came has been read
+	}
 	const most, atMost = 1 << 20, time.Second
 	if t, ok := c.conn.Conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
 		c.conn.SetReadDeadline(time.Now().Add(atMost))
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -13,8 +13,8 @@
 	limit int
 	most  int // that were ever in use
 
-	// relieve closes or hurries an idle connection of either side.
-	relieve func()
+	// relieve closes or hurries idle connections: too many by excess.
+	relieve func(excess int)
 }
 
 const (
@@ -74,10 +74,10 @@
 
 func (s *sockets) relieveIfNear() {
 	s.mu.Lock()
-	near := float64(s.used) >= relieveAbove*float64(s.limit)
+	excess := s.used + 1 - int(relieveAbove*float64(s.limit))
 	s.mu.Unlock()
-	if near {
-		s.relieve()
+	if excess > 0 {
+		s.relieve(excess)
 	}
 }
 
