A crowd of large requests nearly whole fits the memory: 165 MB before, 120 MB now

Probe: 1,500 connections on loopback that each send 65,000 bytes of a 64 KiB request and no more, at 1,024 descriptors. The program reached 165 MB of the 192 allowed: buffers doubled to 128 KiB (fill), and a body got its 64 KiB when its length was told, before it had come (readBody). Buffers now stop at the size of the largest message, and a body of known length gets its memory when it is here. 120 MB after.

Chunked bodies may spend 16 KiB on framing, as the chunked reader itself allows.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -21,8 +21,9 @@
 	MaxHead = 16 << 10
 	MaxBody = 64 << 10
 
-	// maxMessage leaves a chunked body room for its framing.
-	maxMessage = MaxHead + 2*MaxBody
+	// maxMessage leaves a chunked body room for its framing, and bounds what a
+	// crowd of large messages, each nearly whole, can hold in buffers.
+	maxMessage = MaxHead + MaxBody + 16<<10
 	firstBuf   = 2 << 10
 	keptBuf    = 16 << 10 // a larger buffer is dropped when its messages are done
 )
@@ -88,7 +89,10 @@
 			copy(c.buf, c.buf[c.start:c.end])
 			c.pos, c.end, c.start = c.pos-c.start, c.end-c.start, 0
 		} else {
-			grown := make([]byte, max(firstBuf, 2*len(c.buf)))
+			if len(c.buf) > maxMessage {
+				return ErrBodyTooLarge
+			}
+			grown := make([]byte, min(max(firstBuf, 2*len(c.buf)), maxMessage+1))
 			copy(grown, c.buf[:c.end])
 			c.buf = grown
 		}
@@ -203,7 +207,7 @@
 				return nil, err
 			}
 		}
-		return readBody(req.Body, req.ContentLength)
+		return c.readBody(br, req.Body, req.ContentLength)
 	})
 	return req, body, err
 }
@@ -215,7 +219,7 @@
 			if resp, err = http.ReadResponse(br, nil); err != nil {
 				return nil, err
 			}
-			body, err := readBody(resp.Body, resp.ContentLength)
+			body, err := c.readBody(br, resp.Body, resp.ContentLength)
 			if c.err == io.EOF && err == nil { // the body that ends with its connection
 				resp.Close, c.err = true, nil
 			}
@@ -227,11 +231,20 @@
 	}
 }
 
-func readBody(r io.Reader, length int64) ([]byte, error) {
+// readBody reads the body that r parses from br. One of known length gets its
+// memory once all of it is in the buffer: a crowd may tell a length and send
+// little.
+func (c *Conn) readBody(br *bufio.Reader, r io.Reader, length int64) ([]byte, error) {
 	if length > MaxBody {
 		return nil, ErrBodyTooLarge
 	}
 	if length >= 0 {
+		message := c.pos - br.Buffered() - c.start + int(length)
+		for c.end-c.start < message {
+			if c.err = c.fill(); c.err != nil {
+				return nil, c.err
+			}
+		}
 		body := make([]byte, length)
 		_, err := io.ReadFull(r, body)
 		return body, err
@@ -265,7 +278,7 @@
 // before Unwatch. One more message may come meanwhile; it stays in the buffer,
 // and nothing is noticed after it. Where a watch stands, it goes on.
 func (c *Conn) Watch(gone func()) {
-	if c.watch != nil {
+	if c.watch != nil || c.Buffered() > maxMessage { // no room to read into
 		return
 	}
 	c.watch = make(chan struct{})
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -125,6 +125,18 @@
 	}
 }
 
+// Guards against buffers that double past any message: a crowd of large ones
+// would not fit into the memory.
+func TestBufferIsBounded(t *testing.T) {
+	c := NewConn(split("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 60000)))
+	if _, _, err := c.ReadRequest(); err != ErrBodyTooLarge {
+		t.Fatal(err)
+	}
+	if len(c.buf) > MaxHead+MaxBody+20<<10 {
+		t.Errorf("a buffer of %d bytes", len(c.buf))
+	}
+}
+
 func TestExpectContinue(t *testing.T) {
 	head := "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
 	p := split(head+"hi", len(head))
