--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -837,6 +837,39 @@
 	r.eventually("descriptors given back", func() bool { return r.descriptors() <= 8 })
 }
 
+// A fleet that comes and goes: requests are served throughout, and connections
+// to those that are gone do not pile up.
+func TestFleetComesAndGoes(t *testing.T) {
+	const sockets = 64
+	fleet := []*standin.Backend{}
+	for range 8 {
+		fleet = append(fleet, standin.NewBackend(t, standin.Echo))
+	}
+	d := standin.NewDiscovery(t, standin.List(1, false))
+	r := start(t, d.Addr(), sockets, standin.List(1, true, standin.Target("s-0", fleet[0].Addr())))
+	r.eventually("a watch", func() bool { return d.Watches() == 1 })
+	c := r.dial()
+	for rev := 2; rev < 300; rev++ {
+		// Each time another replaces the one before, under a name of its own.
+		d.Push(standin.List(rev, false, standin.TargetIn("terminated", fmt.Sprintf("s-%d", rev-2), ""),
+			standin.Target(fmt.Sprintf("s-%d", rev-1), fleet[rev%len(fleet)].Addr())))
+		if got := c.ask(get(2000)); got.status != 200 {
+			t.Fatalf("list %d: got %+v", rev, got)
+		}
+	}
+	r.eventually("one idle connection, to the last", func() bool {
+		open := 0
+		for _, b := range fleet {
+			_, n := b.Conns()
+			open += n
+		}
+		return open <= 1
+	})
+	if n := r.descriptors(); n > 8 {
+		t.Errorf("%d sockets", n)
+	}
+}
+
 func TestBadConfig(t *testing.T) {
 	good := standin.Config("127.0.0.1:0", "127.0.0.1:1", 256, standin.List(1, true))
 	swap := func(old, with string) string {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -13,6 +13,8 @@
 	"oxbowloft/internal/standin"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestParse(t *testing.T) {
 	good := standin.Target("s-1", "127.0.0.1:80")
 	for _, c := range []struct{ name, line, want string }{
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -8,8 +8,12 @@
 	"strings"
 	"testing"
 	"time"
+
+	"go.uber.org/goleak"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // pieces is a connection that brings its pieces one a read, then ends.
 type pieces struct {
 	net.Conn
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,14 +5,19 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"oxbowloft/internal/http1"
 	"oxbowloft/internal/standin"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // slots is a budget that counts; none is left once out of them.
 type slots struct{ free atomic.Int64 }
 
@@ -107,18 +112,23 @@
 		{"hangs", func(*net.TCPConn) {}, 200 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			go func() {
+			over := make(chan bool)
+			var far sync.WaitGroup
+			far.Go(func() {
 				nc, err := ln.Accept()
 				if err != nil {
+					t.Error(err)
 					return
 				}
-				time.Sleep(50 * time.Millisecond)
+				defer nc.Close()
+				time.Sleep(50 * time.Millisecond) // so that a part is written
 				c.end(nc.(*net.TCPConn))
-				time.Sleep(time.Second)
-				nc.Close()
-			}()
+				<-over
+			})
 			opt, _ := options(5)
 			a := New(ln.Addr().String(), opt).Exchange(time.Now().Add(c.within), huge)
+			close(over)
+			far.Wait()
 			if a.Stage != Unopened || a.Err == nil {
 				t.Errorf("got stage %v, %v", a.Stage, a.Err)
 			}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -24,7 +24,7 @@
 
 func TestMain(m *testing.M) {
 	log.SetOutput(io.Discard)
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // listening is a proxy that listens and does not run yet.
