Tests listen on loopback addresses of their own, so that copies do not meet

Five copies of the tests side by side: one program met another copy's port between the choice of it and its start.

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -68,9 +69,10 @@
 	return r.log.String()
 }
 
-// freeAddr is an address that nothing listens on.
+// freeAddr is an address that nothing listens on: a loopback address of its own,
+// so that no other test gets the port between this and the program's start.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)))
 	if err != nil {
 		t.Fatal(err)
 	}
