--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -121,7 +121,8 @@
 	within(t, "the failure of a call", failed)
 }
 
-// Guards against a watch that a machine cut off leaves open and silent for ever.
+// Guards against a watch that a machine cut off leaves open and silent for ever,
+// and against one given up though it only has nothing to tell.
 func TestSilence(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes seconds")
@@ -130,6 +131,15 @@
 	c, lists, failed := watcher(t, d.Addr(), 0)
 	c.Ask()
 	within(t, "the first list", lists)
+	// Empty lines are signs of life: with them a watch outlives the silence
+	// that ends it without them.
+	for range 8 {
+		time.Sleep(time.Second)
+		d.Push("")
+	}
+	if d.Watches() != 1 || len(failed) != 0 {
+		t.Error("the watch ended in spite of signs of life")
+	}
 	within(t, "the end of a silent watch", failed)
 }
 
