A drain under load loses nothing, tested; a body too large is not asked for

Eight callers that go on asking through a drain, on old connections and new ones: each request sent is answered. Found on a last read: a client that waits for 100 Continue was told to go on with a body that is then refused (ReadRequest).

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -754,6 +754,68 @@
 	}
 }
 
+// Callers that go on asking through a drain, on the connections they have and on
+// new ones, lose nothing: every request sent is answered.
+func TestDrainUnderLoad(t *testing.T) {
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		time.Sleep(5 * time.Millisecond)
+		standin.Echo(c)
+	})
+	list := standin.List(1, true, standin.Target("s-0", b.Addr()))
+	r := start(t, standin.NewDiscovery(t, list).Addr(), 256, list, "--grace", "3s")
+	var callers sync.WaitGroup
+	var sent, answered counter
+	end := make(chan bool)
+	for range 8 {
+		callers.Go(func() {
+			for {
+				nc, err := net.Dial("tcp", r.addr)
+				if err != nil {
+					t.Errorf("dial: %v", err)
+					return
+				}
+				nc.SetDeadline(time.Now().Add(patience))
+				in := bufio.NewReader(nc)
+				for last := false; !last; {
+					select {
+					case <-end:
+						nc.Close()
+						return
+					default:
+					}
+					if _, err := io.WriteString(nc, get(2000)); err != nil {
+						t.Errorf("send: %v", err)
+						return
+					}
+					sent.next()
+					resp, err := http.ReadResponse(in, nil)
+					if err != nil {
+						t.Errorf("answer: %v", err)
+						return
+					}
+					io.Copy(io.Discard, resp.Body)
+					answered.next()
+					last = resp.Close
+				}
+				nc.Close()
+			}
+		})
+	}
+	r.eventually("some load", func() bool { return b.Calls() > 50 })
+	r.signal(syscall.SIGTERM)
+	r.eventually("draining", func() bool { return strings.Contains(r.text(), "phase=draining") })
+	calls := b.Calls()
+	r.eventually("load while it drains", func() bool { return b.Calls() > calls+50 })
+	close(end)
+	callers.Wait()
+	if s, a := sent.set(0), answered.set(0); s != a {
+		t.Errorf("%d sent, %d answered", s, a)
+	}
+	if err := r.wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 func TestSecondSignal(t *testing.T) {
 	b := standin.NewBackend(t, (*standin.Call).Hang)
 	r := startOn(t, b)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Sizes of a message. What is larger ends as ErrTooLarge.
+// Sizes of a message. What is larger ends as ErrHeadTooLarge or ErrBodyTooLarge.
 const (
 	MaxHead = 16 << 10
 	MaxBody = 64 << 10
@@ -202,9 +202,10 @@
 		if req, err = http.ReadRequest(br); err != nil {
 			return nil, err
 		}
-		if req.Header.Get("Expect") == "100-continue" && c.pos == c.end && br.Buffered() == 0 {
-			if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return nil, err
+		waits := req.Header.Get("Expect") == "100-continue" && c.pos == c.end && br.Buffered() == 0
+		if waits && req.ContentLength <= MaxBody {
+			if _, c.err = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); c.err != nil {
+				return nil, c.err
 			}
 		}
 		return c.readBody(br, req.Body, req.ContentLength)
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -150,6 +150,11 @@
 	if got := p.out.String(); got != "HTTP/1.1 100 Continue\r\n\r\n" {
 		t.Errorf("wrote %q", got)
 	}
+	// One that is too large is not asked for.
+	p = split("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 70000\r\n\r\n")
+	if _, _, err := NewConn(p).ReadRequest(); !errors.Is(err, ErrBodyTooLarge) || p.out.Len() > 0 {
+		t.Errorf("got %v, wrote %q", err, p.out.String())
+	}
 }
 
 func TestResponses(t *testing.T) {
