A request's end stops its backoff's timer; not wholly written is tested on the program

A request whose client left in a backoff let its timer run out (driver.Wake); it is stopped with it now. A backend with a small window that does not read makes the system take a part of a 64 KiB request only: the unsafe request goes to another backend, and would fail if the break were taken for one after the last byte.

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -448,6 +448,48 @@
 	}
 }
 
+// A request that must not run twice goes to another backend when the first
+// connection breaks before all of it was written, and only then.
+func TestNotWhollyWritten(t *testing.T) {
+	// Small segments and a small window: the system takes only a part of the
+	// request from a sender whose peer does not read.
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 200)
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
+		})
+	}}
+	ln, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var broken counter
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			broken.next()
+			time.Sleep(50 * time.Millisecond)
+			nc.(*net.TCPConn).SetLinger(0)
+			nc.Close()
+		}
+	}()
+	b := standin.NewBackend(t, func(c *standin.Call) { c.Reply(200, strconv.Itoa(len(c.Text))) })
+	list := standin.List(1, true, standin.Target("s-0", ln.Addr().String()), standin.Target("s-1", b.Addr()))
+	r := start(t, standin.NewDiscovery(t, list).Addr(), 256, list)
+	for range 4 { // the two take turns
+		if got := r.dial().ask(post("pay", strings.Repeat("x", 64<<10), 2000)); got.status != 200 || got.body != "65536" {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if n := broken.set(0); n == 0 {
+		t.Error("the backend that does not read was not tried")
+	}
+}
+
 // Guards against a request for which an idle connection has been closed, and
 // which must not run twice.
 func TestIdleClosedByBackend(t *testing.T) {
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -36,6 +36,7 @@
 	backends map[string]place
 	serial   uint64
 	later    []func()
+	current  *call // whose outcome the module is handling
 }
 
 // place is where a backend is, since when.
@@ -48,7 +49,8 @@
 type call struct {
 	id    string
 	sends int
-	steps chan step // room for one step and the client's going
+	steps chan step   // room for one step and the client's going
+	timer *time.Timer // of its backoff
 }
 
 type stepKind int
@@ -112,6 +114,8 @@
 func (d *driver) done(r *call, s step, result logic.Result) {
 	d.do(func(now logic.Time) {
 		final := result == logic.OK
+		d.current = r
+		defer func() { d.current = nil }()
 		d.balancer.Done(now, logic.Outcome{
 			Request: r.id,
 			Attempt: s.attempt,
@@ -134,6 +138,9 @@
 func (d *driver) forget(r *call) {
 	d.mu.Lock()
 	delete(d.calls, r.id)
+	if r.timer != nil {
+		r.timer.Stop()
+	}
 	d.mu.Unlock()
 }
 
@@ -225,10 +232,13 @@
 // Wake implements logic.Actions.
 func (d *driver) Wake(token uint64, after time.Duration) {
 	due := time.Now().Add(after)
-	time.AfterFunc(after, func() {
+	timer := time.AfterFunc(after, func() {
 		d.stats.late(time.Since(due))
 		d.do(func(now logic.Time) { d.balancer.Wake(now, token) })
 	})
+	if d.current != nil {
+		d.current.timer = timer
+	}
 }
 
 // CloseIdle implements logic.Actions.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -351,6 +351,23 @@
 	set(func(s *sockets) { s.used -= before })
 }
 
+// A request that ends in the middle of a backoff takes its timer with it.
+func TestBackoffTimerEnds(t *testing.T) {
+	list := standin.List(1, true, standin.Target("s-1", "127.0.0.1:1"), standin.Target("s-2", "127.0.0.1:2"))
+	p := listening(t, list, "127.0.0.1:1")
+	defer p.listener.Close()
+	r := p.driver.arrive(0, time.Hour)
+	p.driver.done(r, <-r.steps, logic.NoConnect)
+	if r.timer == nil {
+		t.Fatal("no backoff")
+	}
+	p.driver.gone(r)
+	p.driver.forget(r)
+	if r.timer.Stop() {
+		t.Error("the timer still ran")
+	}
+}
+
 // Guards against a call sent on a connection that the module has just wanted
 // closed: it is out of use before the module says another word.
 func TestCloseIdleAtOnce(t *testing.T) {
