Tidy after a read of the whole change: one piece where two did the same

The size of a message is bounded in one place (fill; the check in source could no longer fire). A 4xx is counted and logged by one function, and the error type that carried its status is gone. Backends are dropped by one function, in one pass over the list. A watch on a client ends where its exchange does, not also before each answer. JSON tags that nothing read are gone. The tests share one wait and one counter.

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -171,11 +171,7 @@
 
 func (r *running) eventually(what string, f func() bool) {
 	r.t.Helper()
-	for end := time.Now().Add(patience); !f(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			r.t.Fatalf("not in time: %s; log:\n%s", what, r.text())
-		}
-	}
+	standin.Eventually(r.t, patience, what, f)
 }
 
 // descriptors is how many sockets the program holds.
@@ -252,18 +248,11 @@
 	return n == 0 && err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-var ids struct {
-	sync.Mutex
-	n int
-}
+var ids counter
 
 func head(method, target, class string, ms int, more ...string) string {
-	ids.Lock()
-	ids.n++
-	id := ids.n
-	ids.Unlock()
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: %016x\r\n"+
-		"X-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n", method, target, id, class, ms,
+		"X-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n", method, target, ids.next(), class, ms,
 		strings.Join(append(more, ""), "\r\n"))
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,9 +18,9 @@
 
 // List is a whole list, or the entries that changed.
 type List struct {
-	Rev     int64    `json:"rev"`
-	All     bool     `json:"all"`
-	Targets []Target `json:"targets"`
+	Rev     int64
+	All     bool
+	Targets []Target
 }
 
 // Target is one entry of a list.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -154,9 +154,7 @@
 	done := make(chan bool)
 	go func() { defer close(done); c.Run(ctx) }()
 	defer func() { stop(); <-done }()
-	for len(d.Asked()) < 2 {
-		time.Sleep(time.Millisecond)
-	}
+	standin.Eventually(t, 20*time.Second, "two calls", func() bool { return len(d.Asked()) >= 2 })
 	// Waits of 0.25 s and more, half to one and a half times: not a flood.
 	if n := len(d.Asked()); n > 3 {
 		t.Errorf("asked %d times", n)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -76,7 +76,8 @@
 	}
 }
 
-// fill reads once from the connection into the buffer.
+// fill reads once from the connection into the buffer, which holds no more than
+// the largest message.
 func (c *Conn) fill() error {
 	if c.err != nil {
 		return c.err
@@ -154,14 +155,9 @@
 func (s source) Read(p []byte) (int, error) {
 	c := s.c
 	if c.pos == c.end {
-		if c.end-c.start > maxMessage {
-			c.err = ErrBodyTooLarge
+		if c.err = c.fill(); c.err != nil {
 			return 0, c.err
 		}
-		if err := c.fill(); err != nil {
-			c.err = err
-			return 0, err
-		}
 	}
 	n := copy(p, c.buf[c.pos:c.end])
 	c.pos += n
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"oxbowloft/internal/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -204,11 +206,7 @@
 
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not in 10 s: %s", what)
-		}
-	}
+	standin.Eventually(t, 10*time.Second, what, f)
 }
 
 func TestQuiet(t *testing.T) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -177,11 +177,7 @@
 	defer b.Close()
 	b.Exchange(soon(), get)
 	backend.Cut()
-	for end := soon(); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if _, open := backend.Conns(); open == 0 {
-			break
-		}
-	}
+	standin.Eventually(t, 10*time.Second, "cut", func() bool { _, open := backend.Conns(); return open == 0 })
 	if a := b.Exchange(soon(), get); a.Status != 200 || string(a.Body) != "2" {
 		t.Errorf("got %+v", a)
 	}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -159,18 +159,19 @@
 			line.Started = logic.Time(t.Boot) * time.Millisecond
 		}
 		lines = append(lines, line)
-		named[t.UID] = t.State != discovery.Terminated
+		named[t.UID] = true
 	}
 	d.do(func(now logic.Time) {
 		for _, t := range l.Targets {
-			if t.State != discovery.Terminated {
+			if t.State == discovery.Terminated {
+				d.drop(t.UID)
+			} else {
 				d.place(t)
 			}
 		}
-		for uid, b := range d.backends {
-			if up, ok := named[uid]; ok && !up || !ok && l.All {
-				delete(d.backends, uid)
-				d.later = append(d.later, b.Close)
+		for uid := range d.backends {
+			if l.All && !named[uid] {
+				d.drop(uid)
 			}
 		}
 		d.balancer.List(now, l.All, lines)
@@ -185,10 +186,16 @@
 	if ok && b.Addr == t.Endpoint && b.boot == t.Boot {
 		return
 	}
-	if ok {
+	d.drop(t.UID)
+	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot}
+}
+
+// drop lets go of a backend, if it is known, and of the connections to it.
+func (d *driver) drop(uid string) {
+	if b, ok := d.backends[uid]; ok {
+		delete(d.backends, uid)
 		d.later = append(d.later, b.Close)
 	}
-	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot}
 }
 
 func (d *driver) listFailed() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -139,14 +139,14 @@
 		p.list.Always()
 	}
 	background, stop := context.WithCancel(context.Background())
-	p.start(func() { p.list.Run(background) })
-	p.start(func() { p.housekeeping(background) })
+	p.tasks.Go(func() { p.list.Run(background) })
+	p.tasks.Go(func() { p.housekeeping(background) })
 
 	log.Printf("event=start name=%q listen=%s tier=%d known=%d",
 		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known())
 	p.enter(Serving)
 	accepted := make(chan error, 1)
-	p.start(func() { accepted <- p.accept() })
+	p.tasks.Go(func() { accepted <- p.accept() })
 	var err error
 	select {
 	case err = <-accepted:
@@ -175,8 +175,6 @@
 	return err
 }
 
-func (p *Proxy) start(task func()) { p.tasks.Go(task) }
-
 // accept takes connections until the listener's deadline or its end.
 func (p *Proxy) accept() error {
 	for {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -79,11 +79,7 @@
 
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not in time: %s", what)
-		}
-	}
+	standin.Eventually(t, 20*time.Second, what, f)
 }
 
 func text(class string, ms int) string {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -44,11 +44,10 @@
 	if req.Method == http.MethodGet && req.URL.Path == pathReady {
 		return p.ready(c, req)
 	}
-	in, err := p.parse(req)
+	in, code, err := p.parse(req)
 	if err != nil {
-		p.stats.bad.Add(1)
-		log.Printf("event=bad_request status=%d client=%s err=%q", status(err), c.conn.RemoteAddr(), err)
-		return p.answer(c, req, status(err), nil, err.Error())
+		p.noteBad(c, code, err)
+		return p.answer(c, req, code, nil, err.Error())
 	}
 	start := time.Now()
 
@@ -70,16 +69,13 @@
 			p.driver.done(call, step, result)
 			p.stats.attempt(result)
 			if result == logic.OK {
-				c.conn.Unwatch()
 				p.stats.served(time.Since(start))
 				return p.pass(c, req, &got)
 			}
 		case stepRefuse:
-			c.conn.Unwatch()
 			p.stats.refused.Add(1)
 			return p.answer(c, req, http.StatusServiceUnavailable, comeBack(step.comeBack), "refused")
 		case stepFail:
-			c.conn.Unwatch()
 			p.stats.failed.Add(1)
 			return p.answer(c, req, http.StatusBadGateway, nil, "failed")
 		case stepGone:
@@ -97,39 +93,30 @@
 	budget time.Duration
 }
 
-// badRequest is a request that gets a 4xx.
-type badRequest struct {
-	status int
-	text   string
-}
-
-func (b badRequest) Error() string { return b.text }
-
-func status(err error) int {
-	var bad badRequest
-	if errors.As(err, &bad) {
-		return bad.status
-	}
-	return http.StatusBadRequest
-}
-
-func (p *Proxy) parse(req *http.Request) (in incoming, err error) {
+// parse takes from a request what the module needs; an error comes with the 4xx
+// that answers it.
+func (p *Proxy) parse(req *http.Request) (in incoming, code int, err error) {
 	if req.Method != http.MethodGet && req.Method != http.MethodPost {
-		return in, badRequest{http.StatusMethodNotAllowed, "method not allowed: " + req.Method}
+		return in, http.StatusMethodNotAllowed, fmt.Errorf("method not allowed: %s", req.Method)
 	}
 	if req.Header.Get(headerID) == "" {
-		return in, badRequest{http.StatusBadRequest, "no " + headerID}
+		return in, http.StatusBadRequest, errors.New("no " + headerID)
 	}
 	class, ok := p.classes[req.Header.Get(headerClass)]
 	if !ok {
-		return in, badRequest{http.StatusBadRequest, fmt.Sprintf("unknown class %q", req.Header.Get(headerClass))}
+		return in, http.StatusBadRequest, fmt.Errorf("unknown class %q", req.Header.Get(headerClass))
 	}
 	ms, err := strconv.ParseUint(req.Header.Get(headerTimeout), 10, 64)
 	if err != nil || ms == 0 || ms > maxTimeout {
-		return in, badRequest{http.StatusBadRequest,
-			fmt.Sprintf("bad %s %q", headerTimeout, req.Header.Get(headerTimeout))}
+		return in, http.StatusBadRequest, fmt.Errorf("bad %s %q", headerTimeout, req.Header.Get(headerTimeout))
 	}
-	return incoming{class: class, budget: time.Duration(ms) * time.Millisecond}, nil
+	return incoming{class: class, budget: time.Duration(ms) * time.Millisecond}, 0, nil
+}
+
+// noteBad counts and logs a request that is answered with a 4xx.
+func (p *Proxy) noteBad(c *client, code int, err error) {
+	p.stats.bad.Add(1)
+	log.Printf("event=bad_request status=%d client=%s err=%q", code, c.conn.RemoteAddr(), err)
 }
 
 // outcome names what an exchange came to in the module's terms.
@@ -285,8 +272,7 @@
 	default: // the client ended it inside the message
 		return
 	}
-	p.stats.bad.Add(1)
-	log.Printf("event=bad_request status=%d client=%s err=%q", code, c.conn.RemoteAddr(), err)
+	p.noteBad(c, code, err)
 	p.write(c, code, nil, []byte(http.StatusText(code)+"\n"), true)
 	if code == http.StatusRequestTimeout {
 		return // all that came has been read
