The limit and the arcs follow a proxy's own traffic where traffic is unlike

Cause: the first limit, its floor and the arcs take for granted that each of the balancers has a like part of the traffic. At the new deployments a tenth of the proxies carries 43 to 60% of it.

Change: where each client process has a balancer (kind-of-service mesh), the base of the limit is what own arrivals would have in flight at a quarter of the aim, starting from a like part; clients' retries don't count for it and go last; the arc has a backend for each own call, and calls leave it only where none inside can be used.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -91,7 +91,8 @@
 		if !ok {
 			return fmt.Errorf("unknown class %q", *e.Kind)
 		}
-		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: settings.Duration(*e.Budget)})
+		in.balancer.Arrive(now, logic.Request{ID: *e.Txn, Class: class, Budget: settings.Duration(*e.Budget),
+			Retry: e.Bits&wire.BitRetry != 0})
 	case "resolved":
 		return in.resolved(now, e)
 	case "lapsed":
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,9 +36,10 @@
 		ColdFrom   float64 `json:"cold-from"`
 		WarmWithin float64 `json:"warm-within-ms"`
 	} `json:"rules"`
-	Stage     int `json:"stage"`
-	Balancers int `json:"balancers"`
-	Me        int `json:"me"`
+	Kind      string `json:"kind-of-service"`
+	Stage     int    `json:"stage"`
+	Balancers int    `json:"balancers"`
+	Me        int    `json:"me"`
 }
 
 // Logic returns the module's settings. The seed comes beside the object, since
@@ -51,6 +52,7 @@
 		Tier:        o.Stage,
 		Balancers:   o.Balancers,
 		Me:          o.Me,
+		Uneven:      o.Kind == "mesh",
 		MaxAttempts: o.Limits.MaxAttempts,
 		AskForList:  o.Discovery == "on_request",
 		AskWithin:   Duration(o.Rules.AskWithin),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,6 +26,7 @@
 	Latency  float64  `json:"latency-ms"`
 	Terminal bool     `json:"terminal"`
 	Budget   *float64 `json:"budget-ms"`
+	Bits     int      `json:"state-bits"`
 
 	Nonce    *uint64          `json:"nonce"`
 	Ref      *int             `json:"ref"`
@@ -36,6 +37,9 @@
 	Serial   *int64           `json:"serial"`
 }
 
+// BitRetry marks a client's retry in an event's Bits.
+const BitRetry = 2
+
 // Element is one line of a list of backends.
 type Element struct {
 	Backend string   `json:"backend"`
--- a/logic/api.go
+++ b/logic/api.go
@@ -49,9 +49,10 @@
 	Zone        string   // this balancer's zone
 	Zones       []string // all zones, in an order that all balancers share
 	Classes     []Class
-	Tier        int // the tier it sends into; 0 faces the clients
-	Balancers   int // how many balancers send into this tier
-	Me          int // this balancer's number among them, from 0
+	Tier        int  // the tier it sends into; 0 faces the clients
+	Balancers   int  // how many balancers send into this tier
+	Me          int  // this balancer's number among them, from 0
+	Uneven      bool // each client process has a balancer of its own: their traffic is unlike
 	MaxAttempts int
 	MaxComeBack time.Duration // longest come-back time clients obey; 0: none
 	AskForList  bool          // list changes come only once asked for
@@ -85,6 +86,7 @@
 	ID     string
 	Class  int           // index into Settings.Classes
 	Budget time.Duration // time until its caller gives up
+	Retry  bool          // the client asks again, where clients tell
 }
 
 // Result is how an attempt ended.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,8 +30,11 @@
 	backoffShare  = 0.1 // of the allowance: time to recover against time for attempts
 	backoffGrowth = 2.0 // of each later one
 
-	reachBalancers = 5.0 // that reach each backend: even in sum against meeting it often
-	reachLeast     = 3.0 // backends that each balancer reaches
+	reachBalancers = 5.0  // that reach each backend: even in sum against meeting it often
+	reachLeast     = 3.0  // backends that each balancer reaches
+	reachCalls     = 1.0  // own calls for each backend within reach, where traffic is unlike
+	reachMore      = 1.25 // by how much own traffic must have grown for a longer arc
+	reachLess      = 2.0  // or fallen for a shorter one
 
 	busyFactor = 1.25 // "well above the mean" in a group: even load against even turns
 	slowWeight = 2.0  // how much more calls count on slow backends: spares choked ones
@@ -54,6 +57,7 @@
 	// strainTarget is the mean latency, as a share of the aim, where the limit on calls
 	// in flight settles: lower refuses work that fits, higher fills queues.
 	strainTarget    = 0.25
+	strainUneven    = 0.33   // the target where a balancer sees few calls: twice the rest of a few is chance
 	restFactor      = 2.0    // the mean latency at rest is the target where that is more: no queue yet
 	restRise        = 0.0005 // how fast the latency at rest follows a mean above it: not with a queue
 	strainCeiling   = 0.4    // no target above this: answers would come late
@@ -62,6 +66,9 @@
 	limitLeast      = 0.7    // share of the first limit that it keeps: no queue comes of that
 	limitPerBackend = 5.0    // at the start, over all balancers: busy without a queue
 	limitLowest     = 0.75   // the part of the limit for work worth next to nothing
+	openLeast       = 0.25   // the same of own traffic, where it is unlike the others'
+	arriveWeight    = 0.02   // of one arrival in own traffic: bursts are not traffic
+	arriveFirst     = 5.0    // arrivals that the start counts for
 	saveMost        = 3.0    // calls that may be saved up or owed: covers chance, not a flood
 
 	comeBackShare = 0.25 // of its aim is what a refused client is told to wait
@@ -90,8 +97,13 @@
 	askWait  time.Duration
 	patience time.Duration // first ejection
 
-	limit       float64 // calls in flight for each unit of size in use
-	firstLimit  float64
+	open        float64 // the limit on calls in flight, as a multiple of the base
+	base        float64 // this balancer's part of the calls, for each unit of size
+	arrived     Time    // last first try of a client
+	arrivals    float64 // of such
+	between     float64 // mean time between them
+	need        float64 // mean latency that the limit allows them
+	arc         float64 // size within reach by own traffic
 	retryTokens float64
 	broken      float64 // share of recent outcomes
 	failing     float64 // share of outcomes, over longer
@@ -113,7 +125,8 @@
 
 type group struct {
 	members []*backend
-	turn    float64 // of the last one in rotation
+	near    []*backend // within reach
+	turn    float64    // of the last one in rotation
 }
 
 type backend struct {
@@ -159,7 +172,7 @@
 		backends: map[string]*backend{},
 		requests: map[string]*request{},
 		wakes:    map[uint64]*request{},
-		lastCall: now,
+		lastCall: now, arrived: now,
 	}
 	longest := time.Duration(0)
 	for _, c := range set.Classes {
@@ -179,8 +192,14 @@
 func (b *Balancer) Arrive(now Time, r Request) {
 	q := &request{Request: r, deadline: now + r.Budget}
 	b.requests[r.ID] = q
-	b.classes[r.Class].meet(r.Budget)
-	b.hold = cmp.Or(b.hold, b.classes[r.Class].cost)
+	c := &b.classes[r.Class]
+	if !r.Retry || c.budget == 0 { // a retry's budget is what its client has left, not the usual one
+		c.meet(r.Budget)
+	}
+	if !r.Retry { // guards against a limit that grows with every refusal
+		b.reckon(now, c)
+	}
+	b.hold = cmp.Or(b.hold, c.cost)
 	b.retryTokens = min(retryBurst, b.retryTokens+retryShare)
 	if !b.admit(now, q) {
 		b.giveUp(q)
@@ -189,6 +208,38 @@
 	b.try(now, q)
 }
 
+// reckon keeps the limit's base and the arcs by this balancer's own traffic, a departure for balancers whose
+// traffic is unlike, as where each client process has its own: a part that were alike would starve the few
+// that carry most. The base is what its arrivals would have in flight at the latency aimed at.
+func (b *Balancer) reckon(now Time, c *class) {
+	if !b.set.Uneven {
+		return
+	}
+	wanted, count, size := strainTarget*float64(c.Aim), float64(len(b.listed)), 0.0
+	for _, m := range b.listed {
+		size += m.Size
+	}
+	if b.arrivals == 0 { // as if traffic were alike, until seen: guards against a flood at the start
+		b.need, b.between, b.arrivals = wanted, wanted/max(b.base*size, 1e-9), arriveFirst
+	}
+	b.arrivals++
+	weight := max(arriveWeight, 1/b.arrivals)
+	b.between += weight * (float64(now-b.arrived) - b.between)
+	b.arrived = now
+	b.need += weight * (wanted - b.need)
+	calls := b.need / max(b.between, 1)
+	b.base = calls / max(size, 1)
+	if arc := calls / reachCalls * size / max(count, 1); arc > reachMore*b.arc || arc < b.arc/reachLess {
+		b.arc = arc // seldom laid anew: each new backend in it costs a connection
+		for _, g := range b.groups {
+			b.reach(g)
+		}
+	}
+}
+
+// limit is how many calls may be in flight for each unit of warm size in use.
+func (b *Balancer) limit() float64 { return b.open * b.base }
+
 // admit is the concurrency limit, a departure: when answers come late for their aim, queues hold the work,
 // and more of it only makes more answers late. What is worth least for its time is turned away first. Only
 // the tier that faces clients limits: a call refused further down wastes what was done above it.
@@ -201,8 +252,11 @@
 		best = max(best, b.classes[i].value())
 	}
 	value := b.classes[q.Class].value() / best
+	if q.Retry { // guards against a client's many tries that crowd out the first ones of others
+		value = -value
+	}
 	t := b.settle(now)
-	limit := (limitLowest + (1-limitLowest)*value) * b.limit * t.warm
+	limit := (limitLowest + (1-limitLowest)*value) * b.limit() * t.warm
 	return t.calls < limit+b.saved+saveMost*value
 }
 
@@ -210,8 +264,12 @@
 // about one call, as each of many balancers has, that refuses by chance what there is room for.
 func (b *Balancer) settle(now Time) tally {
 	t := b.tally(now, b.listed)
-	b.saved += (b.limit*t.warm - t.calls) * float64(now-b.settled) / max(b.hold, 1)
-	b.saved = max(-saveMost-1, min(saveMost, b.saved))
+	b.saved += (b.limit()*t.warm - t.calls) * float64(now-b.settled) / max(b.hold, 1)
+	most := saveMost
+	if b.set.Uneven { // the more traffic, the larger its bursts
+		most = max(most, b.limit()*t.warm)
+	}
+	b.saved = max(-most-1, min(most, b.saved))
 	b.settled = now
 	return t
 }
@@ -323,7 +381,11 @@
 func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
 	var next *backend
 	spare := false // next is well above the mean
-	t := b.tally(now, g.members)
+	near := g.members
+	if b.set.Uneven {
+		near = g.near
+	}
+	t := b.tally(now, near)
 	for _, m := range g.members {
 		usable, busy := b.usable(now, q, m), m.part == 0 || b.busy(now, m, t)
 		if (busy || !usable) && m.turn <= g.turn {
@@ -629,12 +691,19 @@
 	t := b.tally(now, b.listed)
 	// Guards against work turned away where latencies are long without any queue. One late call counts as 1.
 	target := max(strainTarget, min(strainCeiling, restFactor*c.rest/float64(max(c.Aim, 1))))
-	if t.calls+1 > limitInUse*b.limit*t.warm {
-		step := limitStep * (target - min(strain, 1)) / max(t.warm, 1)
+	if b.set.Uneven {
+		target = strainUneven
+	}
+	if t.calls+1 > limitInUse*b.limit()*t.warm {
+		step := limitStep * (target - min(strain, 1)) / max(t.warm, 1) / b.base
 		if step < 0 { // who holds more gives back more, so that balancers even out
-			step *= b.limit / b.firstLimit
+			step *= b.open
+		}
+		least := limitLeast
+		if b.set.Uneven {
+			least = openLeast
 		}
-		b.limit = max(limitLeast*b.firstLimit, b.limit+step)
+		b.open = max(least, b.open+step)
 	}
 }
 
@@ -694,9 +763,9 @@
 		b.update(now, l)
 	}
 	b.regroup()
-	if t := b.tally(now, b.listed); b.limit == 0 && t.size > 0 {
-		b.firstLimit = limitPerBackend * t.count / t.size / float64(max(b.set.Balancers, 1))
-		b.limit = b.firstLimit
+	if t := b.tally(now, b.listed); b.base == 0 && t.size > 0 {
+		b.base = limitPerBackend * t.count / t.size / float64(max(b.set.Balancers, 1))
+		b.open = 1
 	}
 }
 
@@ -761,16 +830,23 @@
 func (b *Balancer) reach(g *group) {
 	const golden = 0.6180339887 // spreads whole numbers most evenly over a ring
 	total := 0.0
+	g.near = g.near[:0]
 	for _, m := range g.members {
 		total += m.Size
 	}
 	share := reachBalancers * float64(len(b.set.Zones)) / float64(max(1, b.set.Balancers))
 	arc := total * max(share, reachLeast/float64(len(g.members)))
+	if b.set.Uneven {
+		arc = max(arc, b.arc)
+	}
 	at := -total * math.Mod(golden*float64(b.set.Me), 1)
 	for _, m := range g.members {
 		lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
 		m.part = min(m.Size, lap(at)+lap(at+total))
 		at += m.Size
+		if m.part > 0 {
+			g.near = append(g.near, m)
+		}
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -119,6 +119,9 @@
 	return b, f
 }
 
+// setLimit sets the limit on calls in flight for each unit of size.
+func (b *Balancer) setLimit(calls float64) { b.open = calls / b.base }
+
 func (f *fake) one(t *testing.T, id string) answer {
 	t.Helper()
 	if len(f.answers[id]) != 1 {
@@ -669,7 +672,7 @@
 func TestLimitRefusesTheLeastWorthFirst(t *testing.T) {
 	refused := func(class int) int {
 		b, f := start(testSettings(), zoneLines("b", 4)...)
-		b.limit = 2 // for each of four
+		b.setLimit(2) // for each of four
 		for i := range b.classes {
 			b.classes[i].meet(2000 * ms)
 		}
@@ -692,20 +695,20 @@
 func TestLimitFollowsStrain(t *testing.T) {
 	b, _ := start(testSettings(), zoneLines("b", 4)...)
 	b.backends["b0"].inFlight = 100
-	before := b.limit
+	before := b.limit()
 	b.correctLimit(0, &b.classes[safe], 2*strainTarget)
-	if b.limit >= before {
+	if b.limit() >= before {
 		t.Error("late answers did not lower the limit")
 	}
-	before = b.limit
+	before = b.limit()
 	b.correctLimit(0, &b.classes[safe], strainTarget/2)
-	if b.limit <= before {
+	if b.limit() <= before {
 		t.Error("early answers did not raise the limit")
 	}
-	b.backends["b0"].inFlight, before = 0, b.limit
+	b.backends["b0"].inFlight, before = 0, b.limit()
 	b.correctLimit(0, &b.classes[safe], 0)
 	b.correctLimit(0, &b.classes[safe], 1)
-	if b.limit != before {
+	if b.limit() != before {
 		t.Error("the limit moved while it was not in use")
 	}
 }
@@ -718,14 +721,14 @@
 		for i := range 3000 {
 			id, now := fmt.Sprint("r", i), Time(i)*20*ms
 			for _, m := range b.listed { // in use all the time
-				m.inFlight = int(b.limit) + 1
+				m.inFlight = int(b.limit()) + 1
 			}
 			b.requests[id] = &request{Request: Request{ID: id, Class: safe}, deadline: now + 2000*ms, out: 1,
 				attempts: []attempt{{to: b.listed[i%4], sent: now}}}
 			b.classes[safe].meet(2000 * ms)
 			b.Done(now, Outcome{Request: id, Result: OK, Latency: latency(i), Final: true})
 		}
-		return b.limit / b.firstLimit
+		return b.limit() / b.base
 	}
 	aim := float64(testSettings().Classes[safe].Aim)
 	of := func(share float64) time.Duration { return time.Duration(share * aim) }
@@ -781,7 +784,7 @@
 		set := testSettings()
 		set.Balancers = balancers
 		b, _ := start(set, zoneLines("b", 40)...)
-		return b.limit * float64(balancers)
+		return b.limit() * float64(balancers)
 	}
 	if few, many := total(2), total(8); few != many || few == 0 {
 		t.Errorf("two balancers open with %v calls together, eight with %v", few, many)
@@ -848,7 +851,7 @@
 func TestLimitShrinksWithTheFleet(t *testing.T) {
 	admitted := func(change func(b *Balancer)) int {
 		b, f := start(testSettings(), zoneLines("b", 8)...)
-		b.limit = 4
+		b.setLimit(4)
 		change(b)
 		for i := range 60 {
 			b.Arrive(0, Request{ID: fmt.Sprint("r", i), Class: safe, Budget: 2000 * ms})
@@ -872,11 +875,11 @@
 func TestLimitComesDownInProportion(t *testing.T) {
 	drop := func(limit float64) float64 {
 		b, _ := start(testSettings(), zoneLines("b", 4)...)
-		b.limit = limit * b.firstLimit
+		b.setLimit(limit * b.base)
 		b.backends["b0"].inFlight = 1000
-		before := b.limit
+		before := b.limit()
 		b.correctLimit(0, &b.classes[safe], 1)
-		return before - b.limit
+		return before - b.limit()
 	}
 	if small, large := drop(1), drop(4); large < 3.9*small || small <= 0 {
 		t.Errorf("gave back %v of a limit, %v of one four times as large", small, large)
@@ -994,7 +997,7 @@
 				mean += float64(hold) / float64(seconds*1000*ms)
 			}
 		}
-		limit += b.limit * float64(backends)
+		limit += b.limit() * float64(backends)
 	}
 	return mean, limit
 }
@@ -1201,3 +1204,106 @@
 		}
 	}
 }
+
+// uneven is settings of balancers whose traffic is unlike: 100 before ten backends.
+func uneven() Settings {
+	set := testSettings()
+	set.Zones, set.Zone = []string{"b"}, "b"
+	set.Balancers, set.Uneven = 100, true
+	return set
+}
+
+// feed lets requests arrive, gap apart, each answered after latency while it is in flight; it returns how many
+// of the last half were refused and the time.
+func feed(b *Balancer, f *fake, now Time, n int, gap, latency time.Duration, retry bool) (int, Time) {
+	type out struct {
+		id string
+		at Time
+	}
+	var open []out
+	refused := 0
+	for i := range n {
+		now += gap
+		for len(open) > 0 && open[0].at <= now {
+			b.Done(open[0].at, Outcome{Request: open[0].id, Result: OK, Latency: latency, Final: true})
+			open = open[1:]
+		}
+		id := fmt.Sprint(now, i, retry)
+		before := len(f.sends)
+		b.Arrive(now, Request{ID: id, Class: safe, Budget: 2000 * ms, Retry: retry})
+		if len(f.sends) > before {
+			open = append(open, out{id, now + latency})
+		} else if i >= n/2 {
+			refused++
+		}
+	}
+	for _, o := range open {
+		b.Done(max(now, o.at), Outcome{Request: o.id, Result: OK, Latency: latency, Final: true})
+	}
+	return refused, now
+}
+
+// Guards against balancers that carry most of the traffic and are held to a like part: at 100 requests a second of
+// 100 ms each, 10 calls are in flight, where a like part is half a call.
+func TestLimitFollowsOwnTraffic(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		uneven      bool
+		least, most float64 // calls of the base
+		refused     int
+	}{{"unlike", true, 11, 14, 0}, {"alike", false, 0.5, 0.5, 500}} {
+		set := uneven()
+		set.Uneven = c.uneven
+		b, f := start(set, zoneLines("b", 10)...)
+		refused, _ := feed(b, f, 0, 1000, 10*ms, 100*ms, false)
+		if base := b.base * 10; base < c.least || base > c.most || refused > c.refused {
+			t.Errorf("%s: base %v calls, want %v to %v; %d of 500 refused", c.name, base, c.least, c.most, refused)
+		}
+	}
+}
+
+// Guards against a limit and an arc that grow with retries: the more is refused, the more would be let in.
+func TestRetriesAreNoTraffic(t *testing.T) {
+	b, f := start(uneven(), zoneLines("b", 10)...)
+	_, now := feed(b, f, 0, 300, 100*ms, 100*ms, false)
+	base, arc, near := b.base, b.arc, len(b.groups[0].near)
+	refused, _ := feed(b, f, now, 300, 5*ms, 100*ms, true)
+	if b.base != base || b.arc != arc || len(b.groups[0].near) != near {
+		t.Errorf("base %v, arc %v, %d near; before the retries %v, %v, %d", b.base, b.arc, len(b.groups[0].near), base, arc, near)
+	}
+	if refused == 0 {
+		t.Error("no retry of a flood was refused")
+	}
+}
+
+// Guards against a flood at the start, before the traffic is known: no more than a like part and what may be
+// saved up goes out.
+func TestStartIsALikePart(t *testing.T) {
+	b, f := start(uneven(), zoneLines("b", 10)...)
+	for i := range 20 {
+		b.Arrive(ms, Request{ID: fmt.Sprint(i), Class: safe, Budget: 2000 * ms})
+	}
+	if len(f.sends) > 2*saveMost+4 {
+		t.Errorf("%d of 20 sent at once", len(f.sends))
+	}
+}
+
+// Guards against few backends under all that a busy balancer carries, and against connections to all of them from
+// balancers that are quiet.
+func TestArcFollowsOwnTraffic(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		gap         time.Duration
+		least, most int
+	}{{"quiet", 500 * ms, 3, 4}, {"busy", 10 * ms, 8, 14}} {
+		b, f := start(uneven(), zoneLines("b", 30)...)
+		feed(b, f, 0, 1000, c.gap, 100*ms, false)
+		to := map[string]bool{}
+		for _, s := range f.sends[len(f.sends)-100:] {
+			to[s.backend] = true
+		}
+		if len(to) < c.least || len(to) > c.most {
+			t.Errorf("%s: calls go to %d backends, want %d to %d", c.name, len(to), c.least, c.most)
+		}
+	}
+}
