--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,6 +19,8 @@
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
 	allowanceRank    = 0.995
+	answerRank       = 0.98
+	answerMargin     = 1.25
 	allowanceStep    = 0.2  // how fast it follows against how much it jitters
 	allowanceFloor   = 0.02 // share of the class's deadline; below it lies noise
 	allowanceStart   = 0.35 // share of the first budget seen: two attempts fit
@@ -69,7 +71,9 @@
 	openLeast       = 0.25   // the same of own traffic, where it is unlike the others'
 	arriveWeight    = 0.02   // of one arrival in own traffic: bursts are not traffic
 	arriveFirst     = 5.0    // arrivals that the start counts for
-	saveMost        = 3.0    // calls that may be saved up or owed: covers chance, not a flood
+	saveLeast       = 1.0
+	saveShare       = 0.5
+	saveMost        = 3.0 // calls that may be saved up or owed: covers chance, not a flood
 
 	comeBackShare = 0.25 // of its aim is what a refused client is told to wait
 	coldCaution   = 1.5  // divides a cold backend's part: it may be a slow one, too
@@ -94,6 +98,7 @@
 	requests map[string]*request
 	wakes    map[uint64]*request
 	token    uint64
+	slowFor  float64
 	askWait  time.Duration
 	patience time.Duration // first ejection
 
@@ -121,6 +126,7 @@
 	answers   float64
 	rest      float64 // cost without a queue
 	budget    float64 // mean budget
+	high      float64 // percentile of answers alone
 }
 
 type group struct {
@@ -179,6 +185,10 @@
 		b.classes = append(b.classes, class{Class: c})
 		longest = max(longest, c.Deadline)
 	}
+	b.slowFor = 1
+	if set.Uneven {
+		b.slowFor = 4
+	}
 	b.patience = time.Duration(ejectPatience * float64(longest))
 	b.askWait = time.Duration(askShare * float64(set.AskWithin))
 	b.gap = float64(b.patience)
@@ -194,7 +204,7 @@
 	b.requests[r.ID] = q
 	c := &b.classes[r.Class]
 	if !r.Retry || c.budget == 0 { // a retry's budget is what its client has left, not the usual one
-		c.meet(r.Budget)
+		c.meet(r.Budget, b.set.Uneven)
 	}
 	if !r.Retry { // guards against a limit that grows with every refusal
 		b.reckon(now, c)
@@ -257,7 +267,7 @@
 	}
 	t := b.settle(now)
 	limit := (limitLowest + (1-limitLowest)*value) * b.limit() * t.warm
-	return t.calls < limit+b.saved+saveMost*value
+	return t.calls < limit+b.saved+b.credit(t)*value
 }
 
 // settle keeps account of what the limit left unused, in calls of mean length. Guards against a limit of
@@ -265,15 +275,20 @@
 func (b *Balancer) settle(now Time) tally {
 	t := b.tally(now, b.listed)
 	b.saved += (b.limit()*t.warm - t.calls) * float64(now-b.settled) / max(b.hold, 1)
-	most := saveMost
-	if b.set.Uneven { // the more traffic, the larger its bursts
-		most = max(most, b.limit()*t.warm)
-	}
+	most := b.credit(t)
 	b.saved = max(-most-1, min(most, b.saved))
 	b.settled = now
 	return t
 }
 
+// credit is how many calls may be saved up or owed.
+func (b *Balancer) credit(t tally) float64 {
+	if b.set.Uneven { // the more traffic, the larger its bursts
+		return max(saveLeast, saveShare*b.limit()*t.warm)
+	}
+	return saveMost
+}
+
 // value is the worth for each unit of time; next to 0 until the class is seen.
 func (c *class) value() float64 { return c.Worth / cmp.Or(c.cost, math.MaxFloat64) }
 
@@ -420,7 +435,7 @@
 // excess is by how much m is slower than its classes' means. What it was counts
 // less with time, so that it is tried again.
 func (b *Balancer) excess(now Time, m *backend) float64 {
-	return max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/float64(b.patience))
+	return max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/(b.slowFor*float64(b.patience)))
 }
 
 // dueTrial finds an ejected backend whose trial call is due. A trial may fail, so it is
@@ -636,6 +651,11 @@
 	}
 	switch o.Result {
 	case OK:
+		if latency >= c.high {
+			c.high *= math.Exp(allowanceStep * answerRank)
+		} else {
+			c.high *= math.Exp(-allowanceStep * (1 - answerRank))
+		}
 		c.learn(latency)
 		c.answers++ // the first ones count for more: what cost began with is no latency
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
@@ -648,6 +668,9 @@
 		}
 	}
 	if o.Result == OK || o.Result == TimedOut {
+		if o.Result == TimedOut && b.set.Uneven {
+			latency = min(latency, 2*c.cost)
+		}
 		b.hold += meanWeight * (latency - b.hold)
 		a.to.slowness += failureWeight * (latency/c.cost - a.to.slowness)
 		a.to.heard = now
@@ -658,11 +681,14 @@
 
 // meet takes a request's budget. The first one sets the allowance: further down
 // it is a small part of the class's deadline.
-func (c *class) meet(budget time.Duration) {
+func (c *class) meet(budget time.Duration, uneven bool) {
 	if c.budget == 0 {
 		c.budget = float64(budget)
 		c.allowance = allowanceStart * c.budget
-		c.cost = c.allowance
+		c.cost, c.high = c.allowance, math.Inf(1)
+		if uneven {
+			c.high = c.allowance
+		}
 	}
 	c.budget += meanWeight * (float64(budget) - c.budget)
 	c.bound()
@@ -682,7 +708,7 @@
 // bound keeps the allowance where attempts make sense. The ceiling is a
 // departure: an allowance that has grown past every budget would send nothing.
 func (c *class) bound() {
-	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
+	c.allowance = max(min(c.allowance, answerMargin*c.high, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
 // correctLimit moves the limit until the mean strain is on target, but only while it
@@ -716,8 +742,13 @@
 	}
 	switch r {
 	case OK:
-	case Error, TimedOut, NoConnect, Broken:
+	case Error, NoConnect, Broken:
 		failed = 1
+	case TimedOut:
+		failed = 1
+		if b.set.Uneven {
+			failed = 0.5
+		}
 	case Full:
 		// Guards against one that turns calls away at once: with few in flight it
 		// would draw the most. It may drain without our having heard.
@@ -735,7 +766,7 @@
 		} else if m.ejected > 0 {
 			b.eject(now, m)
 		}
-	case failed == 1 && m.ejected == 0 && b.outlier(now, m):
+	case failed > 0 && m.ejected == 0 && b.outlier(now, m):
 		b.eject(now, m)
 	}
 }
