Lost answers and stale idle connections are told apart; credit by own traffic

Changes, where traffic is unlike: a time-out counts for two mean latencies at most; where calls on connections idle before stay without an answer, such are closed before use; credit is half a limit, one call at least.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,8 +19,6 @@
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
 	allowanceRank    = 0.995
-	answerRank       = 0.98
-	answerMargin     = 1.25
 	allowanceStep    = 0.2  // how fast it follows against how much it jitters
 	allowanceFloor   = 0.02 // share of the class's deadline; below it lies noise
 	allowanceStart   = 0.35 // share of the first budget seen: two attempts fit
@@ -71,15 +69,20 @@
 	openLeast       = 0.25   // the same of own traffic, where it is unlike the others'
 	arriveWeight    = 0.02   // of one arrival in own traffic: bursts are not traffic
 	arriveFirst     = 5.0    // arrivals that the start counts for
-	saveLeast       = 1.0
-	saveShare       = 0.5
-	saveMost        = 3.0 // calls that may be saved up or owed: covers chance, not a flood
+	saveMost        = 3.0    // calls that may be saved up or owed: covers chance, not a flood
+	saveLeast       = 1.0    // the same where traffic is unlike: many balancers' calls meet at a backend
+	saveShare       = 0.5    // and as a part of the limit: the more traffic, the larger its bursts
 
 	comeBackShare = 0.25 // of its aim is what a refused client is told to wait
 	coldCaution   = 1.5  // divides a cold backend's part: it may be a slow one, too
 	fullPause     = 0.5  // mean latencies of the class that a full backend is left alone
 
-	staleShare = 0.02 // of outcomes broken: idle connections are taken for stale
+	lostFactor  = 2.0  // mean latencies that a time-out counts for, where it may be a lost answer
+	lostShare   = 0.3  // of calls on connections idle before without an answer: those are stale, too
+	lostWeight  = 0.2  // of one of them: few balancers see many
+	lostFade    = 0.02 // of one other answer
+	restedShare = 0.4  // of the first ejection's time: idle from then on
+	staleShare  = 0.02 // of outcomes broken: idle connections are taken for stale
 
 	askShare = 0.05 // of the ask-within time: the first wait to ask again
 )
@@ -98,7 +101,6 @@
 	requests map[string]*request
 	wakes    map[uint64]*request
 	token    uint64
-	slowFor  float64
 	askWait  time.Duration
 	patience time.Duration // first ejection
 
@@ -111,6 +113,7 @@
 	arc         float64 // size within reach by own traffic
 	retryTokens float64
 	broken      float64 // share of recent outcomes
+	lost        float64 // share of time-outs on connections that had been idle
 	failing     float64 // share of outcomes, over longer
 	lastCall    Time    // sent, or not for want of a backend
 	gap         float64 // mean time between such calls
@@ -126,12 +129,11 @@
 	answers   float64
 	rest      float64 // cost without a queue
 	budget    float64 // mean budget
-	high      float64 // percentile of answers alone
 }
 
 type group struct {
 	members []*backend
-	near    []*backend // within reach
+	near    []*backend // whose mean a busy one is held to: those within reach, where traffic is unlike
 	turn    float64    // of the last one in rotation
 }
 
@@ -150,6 +152,7 @@
 	sent     Time    // last, or when it was first heard of
 	spacing  float64 // what part of the spacing of cold calls must pass after that
 	paused   Time    // full lately: until then
+	used     Time    // last answer
 	gone     bool    // no longer listed
 }
 
@@ -168,6 +171,7 @@
 	ended  bool
 	notRun bool // proven
 	trial  bool
+	rested bool // on a connection that had been idle
 }
 
 // New returns a balancer that acts through act.
@@ -185,10 +189,6 @@
 		b.classes = append(b.classes, class{Class: c})
 		longest = max(longest, c.Deadline)
 	}
-	b.slowFor = 1
-	if set.Uneven {
-		b.slowFor = 4
-	}
 	b.patience = time.Duration(ejectPatience * float64(longest))
 	b.askWait = time.Duration(askShare * float64(set.AskWithin))
 	b.gap = float64(b.patience)
@@ -204,7 +204,7 @@
 	b.requests[r.ID] = q
 	c := &b.classes[r.Class]
 	if !r.Retry || c.budget == 0 { // a retry's budget is what its client has left, not the usual one
-		c.meet(r.Budget, b.set.Uneven)
+		c.meet(r.Budget)
 	}
 	if !r.Retry { // guards against a limit that grows with every refusal
 		b.reckon(now, c)
@@ -283,7 +283,7 @@
 
 // credit is how many calls may be saved up or owed.
 func (b *Balancer) credit(t tally) float64 {
-	if b.set.Uneven { // the more traffic, the larger its bursts
+	if b.set.Uneven {
 		return max(saveLeast, saveShare*b.limit()*t.warm)
 	}
 	return saveMost
@@ -329,12 +329,14 @@
 	b.settle(now)
 	trial := to.ejected > 0
 	to.trialOut = to.trialOut || trial
-	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial})
-	q.out++
-	to.inFlight++
-	if b.broken > staleShare {
+	rested := b.set.Uneven && to.inFlight == 0 && to.used > 0 && float64(now-to.used) > restedShare*float64(b.patience)
+	stale := b.broken > staleShare || rested && b.lost > lostShare
+	if stale {
 		b.act.CloseIdle(to.ID)
 	}
+	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial, rested: rested && !stale})
+	q.out++
+	to.inFlight++
 	b.act.Send(q.ID, to.ID, timeout)
 }
 
@@ -396,11 +398,7 @@
 func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
 	var next *backend
 	spare := false // next is well above the mean
-	near := g.members
-	if b.set.Uneven {
-		near = g.near
-	}
-	t := b.tally(now, near)
+	t := b.tally(now, g.near)
 	for _, m := range g.members {
 		usable, busy := b.usable(now, q, m), m.part == 0 || b.busy(now, m, t)
 		if (busy || !usable) && m.turn <= g.turn {
@@ -435,7 +433,7 @@
 // excess is by how much m is slower than its classes' means. What it was counts
 // less with time, so that it is tried again.
 func (b *Balancer) excess(now Time, m *backend) float64 {
-	return max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/(b.slowFor*float64(b.patience)))
+	return max(0, m.slowness-1) * math.Exp(-float64(now-m.heard)/float64(b.patience))
 }
 
 // dueTrial finds an ejected backend whose trial call is due. A trial may fail, so it is
@@ -649,13 +647,19 @@
 	if o.Result == Broken {
 		b.broken += meanWeight
 	}
+	// The same where nothing breaks: what is sent on them has no answer, which costs a whole allowance. New ones
+	// are dear, so only what had been idle is closed, and old ones are tried again as the share fades.
+	if a.rested && (o.Result == OK || o.Result == TimedOut) {
+		b.lost -= lostWeight * b.lost
+		if o.Result == TimedOut {
+			b.lost += lostWeight
+		}
+	} else if o.Result == OK {
+		b.lost -= lostFade * b.lost
+	}
 	switch o.Result {
 	case OK:
-		if latency >= c.high {
-			c.high *= math.Exp(allowanceStep * answerRank)
-		} else {
-			c.high *= math.Exp(-allowanceStep * (1 - answerRank))
-		}
+		a.to.used = now
 		c.learn(latency)
 		c.answers++ // the first ones count for more: what cost began with is no latency
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
@@ -668,8 +672,8 @@
 		}
 	}
 	if o.Result == OK || o.Result == TimedOut {
-		if o.Result == TimedOut && b.set.Uneven {
-			latency = min(latency, 2*c.cost)
+		if o.Result == TimedOut && b.set.Uneven { // guards against healthy backends that lose some answers,
+			latency = min(latency, lostFactor*c.cost) // and of whom all would go to the few that lose none
 		}
 		b.hold += meanWeight * (latency - b.hold)
 		a.to.slowness += failureWeight * (latency/c.cost - a.to.slowness)
@@ -681,14 +685,11 @@
 
 // meet takes a request's budget. The first one sets the allowance: further down
 // it is a small part of the class's deadline.
-func (c *class) meet(budget time.Duration, uneven bool) {
+func (c *class) meet(budget time.Duration) {
 	if c.budget == 0 {
 		c.budget = float64(budget)
 		c.allowance = allowanceStart * c.budget
-		c.cost, c.high = c.allowance, math.Inf(1)
-		if uneven {
-			c.high = c.allowance
-		}
+		c.cost = c.allowance
 	}
 	c.budget += meanWeight * (float64(budget) - c.budget)
 	c.bound()
@@ -708,7 +709,7 @@
 // bound keeps the allowance where attempts make sense. The ceiling is a
 // departure: an allowance that has grown past every budget would send nothing.
 func (c *class) bound() {
-	c.allowance = max(min(c.allowance, answerMargin*c.high, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
+	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
 // correctLimit moves the limit until the mean strain is on target, but only while it
@@ -717,18 +718,15 @@
 	t := b.tally(now, b.listed)
 	// Guards against work turned away where latencies are long without any queue. One late call counts as 1.
 	target := max(strainTarget, min(strainCeiling, restFactor*c.rest/float64(max(c.Aim, 1))))
-	if b.set.Uneven {
-		target = strainUneven
+	least := limitLeast
+	if b.set.Uneven { // a few calls tell of no latency at rest
+		target, least = strainUneven, openLeast
 	}
 	if t.calls+1 > limitInUse*b.limit()*t.warm {
 		step := limitStep * (target - min(strain, 1)) / max(t.warm, 1) / b.base
 		if step < 0 { // who holds more gives back more, so that balancers even out
 			step *= b.open
 		}
-		least := limitLeast
-		if b.set.Uneven {
-			least = openLeast
-		}
 		b.open = max(least, b.open+step)
 	}
 }
@@ -742,13 +740,8 @@
 	}
 	switch r {
 	case OK:
-	case Error, NoConnect, Broken:
-		failed = 1
-	case TimedOut:
+	case Error, TimedOut, NoConnect, Broken:
 		failed = 1
-		if b.set.Uneven {
-			failed = 0.5
-		}
 	case Full:
 		// Guards against one that turns calls away at once: with few in flight it
 		// would draw the most. It may drain without our having heard.
@@ -766,7 +759,7 @@
 		} else if m.ejected > 0 {
 			b.eject(now, m)
 		}
-	case failed > 0 && m.ejected == 0 && b.outlier(now, m):
+	case failed == 1 && m.ejected == 0 && b.outlier(now, m):
 		b.eject(now, m)
 	}
 }
@@ -875,7 +868,7 @@
 		lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
 		m.part = min(m.Size, lap(at)+lap(at+total))
 		at += m.Size
-		if m.part > 0 {
+		if m.part > 0 || !b.set.Uneven {
 			g.near = append(g.near, m)
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1307,3 +1307,95 @@
 		}
 	}
 }
+
+// Guards against credit of three calls for each of many balancers: together they choke the backends at the start.
+func TestCreditOfQuietBalancers(t *testing.T) {
+	b, f := start(uneven(), zoneLines("b", 10)...)
+	feed(b, f, 0, 100, 500*ms, 100*ms, false)
+	now, before := 60*time.Second, len(f.sends)
+	for i := range 10 {
+		b.Arrive(now, Request{ID: fmt.Sprint("burst", i), Class: safe, Budget: 2000 * ms})
+	}
+	if n := len(f.sends) - before; n < 1 || n > 4 {
+		t.Errorf("%d of 10 at once were sent, want 1 to 4", n)
+	}
+}
+
+// Guards against backends that lose a part of their answers and are taken for slow: all would go to the few that
+// lose none. A time-out counts for no more than two mean latencies, also for the limit.
+func TestLostAnswersAreNotSlowness(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		uneven bool
+		slow   bool
+	}{{"unlike", true, false}, {"alike", false, true}} {
+		set := uneven()
+		set.Uneven = c.uneven
+		b, _ := start(set, zoneLines("b", 10)...)
+		b.allow(safe, 700*ms)
+		b.classes[safe].cost, b.classes[safe].answers = float64(100*ms), 100
+		m := b.backends["b0"]
+		m.used = 0
+		for i := range 20 { // every fourth answer is lost
+			o, latency := OK, 100*ms
+			if i%4 == 3 {
+				o, latency = TimedOut, 700*ms
+			}
+			q := &request{Request: Request{Class: safe}, attempts: []attempt{{to: m}}}
+			b.learnFrom(Time(i)*100*ms, q, &q.attempts[0], Outcome{Result: o, Latency: latency})
+			m.ejected = 0
+		}
+		if slow := m.slowness > 1.5; slow != c.slow {
+			t.Errorf("%s: slowness %v", c.name, m.slowness)
+		}
+	}
+}
+
+// Guards against idle connections that are dropped unseen: calls on them have no answer, where a new connection has
+// one. Busy ones stay open, since a new one is dear.
+func TestStaleIdleConnectionsWithoutABreak(t *testing.T) {
+	b, f := start(uneven(), zoneLines("b", 1)...)
+	now := feedOne(b, f, 0, OK) // a connection is made
+	for range 8 {
+		now = feedOne(b, f, now+3*time.Second, TimedOut)
+	}
+	if f.closed == 0 {
+		t.Fatal("nothing was closed while all calls on idle connections had no answer")
+	}
+	closed := f.closed
+	for range 10 {
+		now = feedOne(b, f, now+50*ms, OK)
+	}
+	if n := f.closed - closed; n > 1 { // the first may have been idle
+		t.Errorf("connections in use were closed %d times", n)
+	}
+	for range 200 {
+		now = feedOne(b, f, now+50*ms, OK)
+	}
+	if b.lost > lostShare {
+		t.Errorf("after 200 answers %v of calls still count as lost", b.lost)
+	}
+}
+
+// feedOne is one request whose attempts all end with r; it returns when the last one did.
+func feedOne(b *Balancer, f *fake, now Time, r Result) Time {
+	id := fmt.Sprint("one", now)
+	b.Arrive(now, Request{ID: id, Class: safe, Budget: 2000 * ms})
+	for n := 0; len(f.sends) > 0 && f.sends[len(f.sends)-1].request == id; n++ {
+		took := 100 * ms
+		if r == TimedOut {
+			took = f.sends[len(f.sends)-1].timeout
+		}
+		now += took
+		before := len(f.sends)
+		b.Done(now, Outcome{Request: id, Attempt: n, Result: r, Latency: took, Final: r == OK})
+		for token, wait := range f.wakes {
+			delete(f.wakes, token)
+			b.Wake(now+wait, token)
+		}
+		if len(f.sends) == before {
+			break
+		}
+	}
+	return now
+}
