--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -1247,6 +1247,13 @@
 		}
 		return strings.Replace(good, old, with, 1)
 	}
+	mesh := func(old, with string) string {
+		good := standin.Mesh("127.0.0.1:0", "127.0.0.1:1", 256, standin.List(1, true))
+		if !strings.Contains(good, old) {
+			t.Fatalf("no %s in the configuration", old)
+		}
+		return strings.Replace(good, old, with, 1)
+	}
 	for _, c := range []struct{ name, text, want string }{
 		{"no JSON", "listen = 3", "invalid character"},
 		{"empty", "", "unexpected end"},
@@ -1257,6 +1264,16 @@
 		{"no settings", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1"}`, "no settings"},
 		{"bad class", swap(`"idempotency":"free"`, `"idempotency":"maybe"`), "idempotency"},
 		{"no attempts", swap(`"max-attempts":4`, `"max-attempts":0`), "max-attempts"},
+		{"unknown shape", swap(`"settings":{`, `"settings":{"kind-of-service":"ring",`), "kind-of-service"},
+		{"a mesh without its number of proxies", mesh(`"balancers":100`, `"balancers":0`), "balancers"},
+		{"a number past the last proxy", mesh(`"me":0`, `"me":100`), "me"},
+		{"marked retries in a chain", swap(`"limits":{"conn-idle-ms"`, `"clients":{"marks-retry":true},"limits":{"conn-idle-ms"`), "marks-retry"},
+		{"streams in a chain", swap(`"max-attempts"`, `"streams-per-conn":100,"max-attempts"`), "streams-per-conn"},
+		{"mix: a lower tier in a mesh", mesh(`"stage":0`, `"stage":1`), "stage"},
+		{"mix: zones in a mesh", mesh(`"zones":["z1"]`, `"zones":["z1","z2"]`), "zones"},
+		{"mix: probes in a mesh", mesh(`"may-tell":true`, `"probing":true`), "probing"},
+		{"mix: one request a connection in a mesh", mesh(`"streams-per-conn":100`, `"streams-per-conn":1`), "streams-per-conn"},
+		{"mix: the old shape with the new one's rest", mesh(`"kind-of-service":"mesh"`, `"kind-of-service":"chain"`), "streams-per-conn"},
 		{"bad known list", swap(`"targets":[]`, `"targets":[{}]`), "known"},
 	} {
 		for _, command := range []string{"serve", "check"} {
@@ -1276,6 +1293,9 @@
 	if out, err := exec.Command(program, "check", writeConfig(t, good)).Output(); err != nil || string(out) != "ok\n" {
 		t.Errorf("check of a good one: %q, %v", out, err)
 	}
+	if out, err := exec.Command(program, "check", writeConfig(t, mesh("mesh", "mesh"))).Output(); err != nil || string(out) != "ok\n" {
+		t.Errorf("check of a good mesh: %q, %v", out, err)
+	}
 	cmd := exec.Command(program, "serve")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH")}
 	if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), "BALANCER_CONFIG") {
--- /dev/null
+++ b/cmd/oxbowloft/mesh_test.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// startMesh starts the program as one client process's proxy, before the backends.
+func startMesh(t *testing.T, backends ...*standin.Backend) *running {
+	t.Helper()
+	var targets []string
+	for i, b := range backends {
+		targets = append(targets, standin.Target("s-"+string(rune('a'+i)), b.Addr()))
+	}
+	list := standin.List(1, true, targets...)
+	addr := freeAddr(t)
+	cmd := exec.Command(program, "serve", "--grace", "20ms")
+	config := writeConfig(t, standin.Mesh(addr, standin.NewDiscovery(t, list).Addr(), 256, list))
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+config)
+	r := launch(t, cmd, addr)
+	r.config = config
+	return r
+}
+
+// The build that serves tiers serves a client process of its own too, by settings alone;
+// there, and only there, a mark on retries is read.
+func TestMeshServes(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	mesh, chain := startMesh(t, b), startOn(t, b)
+	for _, c := range []struct {
+		name        string
+		headers     []string
+		mesh, chain int
+	}{
+		{"no mark", nil, 200, 200},
+		{"a first try", []string{"X-Retried: 0"}, 200, 200},
+		{"a retry", []string{"X-Retried: 1"}, 200, 200},
+		{"no mark that is known", []string{"X-Retried: often"}, 400, 200},
+		{"two marks", []string{"X-Retried: 1", "X-Retried: 0"}, 400, 200},
+	} {
+		for _, r := range []struct {
+			*running
+			want int
+		}{{mesh, c.mesh}, {chain, c.chain}} {
+			if got := r.dial().ask(head("GET", "/api", "get", 2000, c.headers...)); got.status != r.want {
+				t.Errorf("%s: got %+v, want %d", c.name, got, r.want)
+			}
+		}
+	}
+}
+
+// Under more than the limit lets in, retries are turned away and first tries served;
+// what is given up is answered at once, and where clients take no advice none is given.
+func TestMeshRetriesLast(t *testing.T) {
+	const calls, latency = 12, 300 * time.Millisecond
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		time.Sleep(latency)
+		standin.Echo(c)
+	})
+	r := startMesh(t, b)
+	var first, retries, late, advised atomic.Int32
+	var tasks sync.WaitGroup
+	for i := range calls {
+		mark, served := "X-Retried: 1", &retries
+		if i%2 == 0 {
+			mark, served = "X-Retried: 0", &first
+		}
+		tasks.Go(func() {
+			c := r.dial()
+			for range 6 {
+				began := time.Now()
+				got := c.ask(head("GET", "/api", "get", 2000, mark))
+				switch {
+				case got.status == 200:
+					served.Add(1)
+					continue
+				case time.Since(began) > time.Second: // held back: its deadline is 2 s
+					late.Add(1)
+				case got.header.Get("Retry-After") != "":
+					advised.Add(1)
+				}
+				time.Sleep(latency)
+			}
+		})
+	}
+	tasks.Wait()
+	if first.Load() == 0 || retries.Load() >= first.Load() {
+		t.Errorf("%d first tries and %d retries served", first.Load(), retries.Load())
+	}
+	if late.Load() > 0 || advised.Load() > 0 {
+		t.Errorf("%d refusals came late, %d with advice", late.Load(), advised.Load())
+	}
+}
--- a/cmd/oxbowloft/reload_test.go
+++ b/cmd/oxbowloft/reload_test.go
@@ -103,6 +103,8 @@
 	try("wrong")
 	r.rewrite(string(bytes.Replace(good, []byte(d.Addr()), []byte("nowhere"), 1)))
 	try("no address")
+	r.rewrite(strings.Replace(string(good), `"max-attempts"`, `"streams-per-conn":100,"max-attempts"`, 1))
+	try("a mix of shapes")
 	if err := os.Remove(r.config); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,23 +23,72 @@
 		Memory      float64 `json:"memory-span-ms"`
 		Worth       float64 `json:"worth"`
 	} `json:"classes"`
+	Clients struct {
+		MarksRetry bool `json:"marks-retry"`
+	} `json:"clients"`
 	Discovery string `json:"discovery"`
 	Limits    struct {
 		ConnIdle      float64 `json:"conn-idle-ms"`
 		DialTimeout   float64 `json:"dial-timeout-ms"`
+		MayTell       bool    `json:"may-tell"`
+		Probing       bool    `json:"probing"`
+		Streams       int     `json:"streams-per-conn"`
 		MaxAttempts   int     `json:"max-attempts"`
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		RetryAfter    bool    `json:"retry-after"`
 	} `json:"limits"`
+	Report struct {
+		How string `json:"how"`
+	} `json:"report"`
 	Rules struct {
 		AskWithin  float64 `json:"ask-within-ms"`
 		ColdFrom   float64 `json:"cold-from"`
 		WarmWithin float64 `json:"warm-within-ms"`
 	} `json:"rules"`
-	Kind      string `json:"kind-of-service"`
-	Stage     int    `json:"stage"`
-	Balancers int    `json:"balancers"`
-	Me        int    `json:"me"`
+	Kind      string   `json:"kind-of-service"`
+	Stage     int      `json:"stage"`
+	Tiers     []string `json:"tiers"`
+	Balancers int      `json:"balancers"`
+	Me        int      `json:"me"`
+}
+
+// The shapes of a deployment, as kind-of-service names them.
+const (
+	KindChain = "chain" // tiers, each behind a few proxies with like traffic; also where nothing is said
+	KindMesh  = "mesh"  // each client process has a proxy of its own, with unlike traffic
+)
+
+// Check tells which key belongs to another shape than kind-of-service names, or has a
+// value that no shape has. One program serves both shapes, by these settings alone;
+// a mix of them would run one with the other's numbers.
+func (o *Object) Check() error {
+	mesh := o.Kind == KindMesh
+	for _, c := range []struct {
+		key   string
+		wrong bool
+		why   string
+	}{
+		{"kind-of-service", !mesh && o.Kind != KindChain && o.Kind != "", "neither chain nor mesh"},
+		{"limits: streams-per-conn", o.Limits.Streams < 0, "below zero"},
+		{"limits: streams-per-conn", !mesh && o.Limits.Streams > 1, "over 1 needs kind-of-service mesh"},
+		{"limits: streams-per-conn", mesh && o.Limits.Streams == 1, "1 needs kind-of-service chain"},
+		{"limits: may-tell", !mesh && o.Limits.MayTell, "needs kind-of-service mesh"},
+		{"clients: marks-retry", !mesh && o.Clients.MarksRetry, "needs kind-of-service mesh"},
+		{"limits: probing", mesh && o.Limits.Probing, "needs kind-of-service chain"},
+		{"report: how", mesh && o.Report.How != "" && o.Report.How != "off", "needs kind-of-service chain"},
+		{"stage", mesh && o.Stage != 0, "over 0 needs kind-of-service chain"},
+		{"tiers", mesh && len(o.Tiers) > 1, "more than one needs kind-of-service chain"},
+		{"zones", mesh && len(o.Zones) > 1, "more than one needs kind-of-service chain"},
+		{"balancers", o.Balancers < 0, "below zero"},
+		{"balancers", mesh && o.Balancers == 0, "missing, and needed where kind-of-service is mesh"},
+		{"me", o.Me < 0, "below zero"},
+		{"me", mesh && o.Me >= max(1, o.Balancers), "not below balancers"},
+	} {
+		if c.wrong {
+			return fmt.Errorf("%s: %s", c.key, c.why)
+		}
+	}
+	return nil
 }
 
 // Logic returns the module's settings. The seed comes beside the object, since
@@ -52,7 +101,7 @@
 		Tier:        o.Stage,
 		Balancers:   o.Balancers,
 		Me:          o.Me,
-		Uneven:      o.Kind == "mesh",
+		Uneven:      o.Kind == KindMesh,
 		MaxAttempts: o.Limits.MaxAttempts,
 		AskForList:  o.Discovery == "on_request",
 		AskWithin:   Duration(o.Rules.AskWithin),
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -19,6 +19,20 @@
 	return fmt.Sprintf(`{"rev":%d,"all":%t,"targets":[%s]}`, rev, all, strings.Join(targets, ","))
 }
 
+// Mesh is a configuration for a proxy of one client process among many, whose clients
+// mark retries; else as Config.
+func Mesh(listen, discovery string, sockets int, known string) string {
+	text := Config(listen, discovery, sockets, known)
+	for _, r := range [][2]string{
+		{`"zones":["z1","z2"],"balancers":1`, `"zones":["z1"],"kind-of-service":"mesh","balancers":100`},
+		{`"limits":{"conn-idle-ms"`, `"clients":{"marks-retry":true},"limits":{"streams-per-conn":100,"may-tell":true,"conn-idle-ms"`},
+		{`"retry-after":true`, `"retry-after":false`},
+	} {
+		text = strings.Replace(text, r[0], r[1], 1)
+	}
+	return text
+}
+
 // Config is a configuration with three classes: "get" may run any number of
 // times, "put" carries a key, "pay" must not run twice. Idle connections may stand
 // longer than a test waits, so that a test sees who closes them.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -329,7 +329,8 @@
 	b.settle(now)
 	trial := to.ejected > 0
 	to.trialOut = to.trialOut || trial
-	rested := b.set.Uneven && to.inFlight == 0 && to.used > 0 && float64(now-to.used) > restedShare*float64(b.patience)
+	rested := b.set.Uneven && to.inFlight == 0 && to.used > 0 &&
+		float64(now-to.used) > restedShare*float64(b.patience)
 	stale := b.broken > staleShare || rested && b.lost > lostShare
 	if stale {
 		b.act.CloseIdle(to.ID)
@@ -647,8 +648,8 @@
 	if o.Result == Broken {
 		b.broken += meanWeight
 	}
-	// The same where nothing breaks: what is sent on them has no answer, which costs a whole allowance. New ones
-	// are dear, so only what had been idle is closed, and old ones are tried again as the share fades.
+	// The same where nothing breaks: what is sent on them has no answer, which costs a whole allowance. New
+	// ones are dear, so only what had been idle is closed, and old ones are tried again as the share fades.
 	if a.rested && (o.Result == OK || o.Result == TimedOut) {
 		b.lost -= lostWeight * b.lost
 		if o.Result == TimedOut {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -159,6 +159,9 @@
 		}
 		c.known.All = true
 	}
+	if err := c.Settings.Check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	var err error
 	if c.logic, err = c.Settings.Logic(seed); err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -105,7 +105,7 @@
 
 // arrive hands a request to the module; its first step is ready on return. It
 // returns nil for one whose id is open here already.
-func (d *driver) arrive(name string, class int, budget time.Duration) (r *call) {
+func (d *driver) arrive(name string, class int, budget time.Duration, retry bool) (r *call) {
 	d.do(func(now logic.Time) {
 		if d.open[name] {
 			return
@@ -115,7 +115,7 @@
 		d.serial++
 		r = &call{id: strconv.FormatUint(d.serial, 36), name: name, steps: make(chan step, 2)}
 		d.calls[r.id] = r
-		d.balancer.Arrive(now, logic.Request{ID: r.id, Class: class, Budget: budget})
+		d.balancer.Arrive(now, logic.Request{ID: r.id, Class: class, Budget: budget, Retry: retry})
 	})
 	return r
 }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -20,6 +20,7 @@
 	headerID           = "X-Request-ID"
 	headerClass        = "X-Priority-Class"
 	headerTimeout      = "X-Timeout-Ms"
+	headerRetry        = "X-Retried" // where the settings say that clients mark retries
 	headerNotProcessed = "X-Not-Processed"
 
 	pathReady = "/healthz"
@@ -52,7 +53,7 @@
 	start := time.Now()
 
 	// Arrive.
-	call := p.driver.arrive(in.id, in.class, in.budget)
+	call := p.driver.arrive(in.id, in.class, in.budget, in.retry)
 	if call == nil {
 		p.turnAway(c, http.StatusConflict, errOpen)
 		return false
@@ -103,6 +104,7 @@
 	id     string
 	class  int
 	budget time.Duration
+	retry  bool
 }
 
 // errOpen is a request with the id of one that has no answer yet: a backend could
@@ -122,7 +124,12 @@
 	default:
 		return in, http.StatusMethodNotAllowed, fmt.Errorf("method not allowed: %.20q", req.Method)
 	}
-	for _, header := range [...]string{headerID, headerClass, headerTimeout} {
+	headers := [...]string{headerID, headerClass, headerTimeout, headerRetry}
+	marks := len(headers)
+	if !p.marksRetry {
+		marks-- // any header of a client's, like others
+	}
+	for _, header := range headers[:marks] {
 		if len(req.Header.Values(header)) > 1 {
 			return in, code, errors.New("more than one " + header)
 		}
@@ -147,6 +154,12 @@
 	if err != nil || ms == 0 || ms > maxTimeout {
 		return in, code, fmt.Errorf("bad %s %.40q", headerTimeout, req.Header.Get(headerTimeout))
 	}
+	if p.marksRetry {
+		if mark := req.Header.Get(headerRetry); mark != "" && mark != "0" && mark != "1" {
+			return in, code, fmt.Errorf("bad %s %.40q", headerRetry, mark)
+		}
+		in.retry = req.Header.Get(headerRetry) == "1"
+	}
 	in.class = class
 	in.budget = time.Duration(ms) * time.Millisecond
 	if p.longest > 0 { // nobody has more patience, nor has a proxy that is about to end
--- a/test.sh
+++ b/test.sh
@@ -25,9 +25,12 @@
 	exit 1
 fi
 
-lines=$(grep -c '[^[:space:]]' logic/logic.go)
-if [ "$lines" -gt 720 ]; then
-	echo "logic/logic.go has $lines non-blank lines, 720 at most" >&2
+# All files that the deploy file names as policy count.
+policy=$(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",')
+# shellcheck disable=SC2086 # one word a file
+lines=$(cat $policy | grep -c '[^[:space:]]')
+if [ -z "$policy" ] || [ "$lines" -gt 820 ]; then
+	echo "policy files ($policy) have $lines non-blank lines, 820 at most" >&2
 	exit 1
 fi
 if expand -t 4 logic/*.go | grep -nE '^.{111,}'; then
