Classes are let in alike where the goal weighs the worst one; floor as elsewhere

The goal is among the settings and was unread.

Change: with goal.worst-class at half of goal.whole or more all classes count alike in the limit, low enough that retries still go last. The floor by own traffic is the ordinary one, 0.7 of the base, for a quarter: no difference, one constant less.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,11 @@
 		MarksRetry bool `json:"marks-retry"`
 	} `json:"clients"`
 	Discovery string `json:"discovery"`
-	Limits    struct {
+	Goal      struct {
+		Whole      float64 `json:"whole"`
+		WorstClass float64 `json:"worst-class"`
+	} `json:"goal"`
+	Limits struct {
 		ConnIdle      float64 `json:"conn-idle-ms"`
 		DialTimeout   float64 `json:"dial-timeout-ms"`
 		MayTell       bool    `json:"may-tell"`
@@ -79,6 +83,8 @@
 		{"stage", mesh && o.Stage != 0, "over 0 needs kind-of-service chain"},
 		{"tiers", mesh && len(o.Tiers) > 1, "more than one needs kind-of-service chain"},
 		{"zones", mesh && len(o.Zones) > 1, "more than one needs kind-of-service chain"},
+		{"goal: whole", o.Goal.Whole < 0, "below zero"},
+		{"goal: worst-class", o.Goal.WorstClass < 0, "below zero"},
 		{"balancers", o.Balancers < 0, "below zero"},
 		{"balancers", mesh && o.Balancers == 0, "missing, and needed where kind-of-service is mesh"},
 		{"me", o.Me < 0, "below zero"},
@@ -95,13 +101,15 @@
 // it is new with each start.
 func (o *Object) Logic(seed uint64) (logic.Settings, error) {
 	set := logic.Settings{
-		Seed:        seed,
-		Zone:        o.Zone,
-		Zones:       o.Zones,
-		Tier:        o.Stage,
-		Balancers:   o.Balancers,
-		Me:          o.Me,
-		Uneven:      o.Kind == KindMesh,
+		Seed:      seed,
+		Zone:      o.Zone,
+		Zones:     o.Zones,
+		Tier:      o.Stage,
+		Balancers: o.Balancers,
+		Me:        o.Me,
+		Uneven:    o.Kind == KindMesh,
+		// By worth, the worst-served class is always the same one; where it weighs this much, it must not be.
+		EvenClasses: o.Goal.WorstClass > 0 && o.Goal.WorstClass >= o.Goal.Whole/2,
 		MaxAttempts: o.Limits.MaxAttempts,
 		AskForList:  o.Discovery == "on_request",
 		AskWithin:   Duration(o.Rules.AskWithin),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,12 +12,15 @@
 	for _, c := range []struct {
 		name, text string
 		uneven     bool
+		even       bool
 	}{
-		{"nothing said", `{}`, false},
+		{"nothing said", `{}`, false, false},
 		{"chain", `{"kind-of-service":"chain","stage":1,"tiers":["a","b"],"zones":["x","y"],
-			"limits":{"streams-per-conn":1,"probing":true},"report":{"how":"on_probe"}}`, false},
+			"limits":{"streams-per-conn":1,"probing":true},"report":{"how":"on_probe"},
+			"goal":{"whole":0.6,"worst-class":0.2}}`, false, false},
 		{"mesh", `{"kind-of-service":"mesh","tiers":["a"],"zones":["x"],"balancers":3,"me":2,"clients":{"marks-retry":true},
-			"limits":{"streams-per-conn":100,"may-tell":true},"report":{"how":"off"}}`, true},
+			"limits":{"streams-per-conn":100,"may-tell":true},"report":{"how":"off"},
+			"goal":{"whole":0.45,"worst-class":0.3}}`, true, true},
 	} {
 		var o Object
 		if err := json.Unmarshal([]byte(c.text), &o); err != nil {
@@ -26,8 +29,8 @@
 		if err := o.Check(); err != nil {
 			t.Errorf("%s: %v", c.name, err)
 		}
-		if set, err := o.Logic(1); err != nil || set.Uneven != c.uneven {
-			t.Errorf("%s: uneven %t, %v", c.name, set.Uneven, err)
+		if set, err := o.Logic(1); err != nil || set.Uneven != c.uneven || set.EvenClasses != c.even {
+			t.Errorf("%s: uneven %t, even classes %t, %v", c.name, set.Uneven, set.EvenClasses, err)
 		}
 	}
 }
@@ -41,6 +44,8 @@
 		{`"limits":{"streams-per-conn":-1}`, "limits: streams-per-conn"},
 		{`"limits":{"may-tell":true}`, "limits: may-tell"},
 		{`"clients":{"marks-retry":true}`, "clients: marks-retry"},
+		{`"goal":{"whole":-1}`, "goal: whole"},
+		{`"goal":{"worst-class":-0.1}`, "goal: worst-class"},
 		{`"balancers":-1`, "balancers"},
 		{`"me":-1`, "me"},
 		{mesh + `,"limits":{"streams-per-conn":1}`, "limits: streams-per-conn"},
--- a/logic/api.go
+++ b/logic/api.go
@@ -53,6 +53,7 @@
 	Balancers   int  // how many balancers send into this tier
 	Me          int  // this balancer's number among them, from 0
 	Uneven      bool // each client process has a balancer of its own: their traffic is unlike
+	EvenClasses bool // no class is to be worse off than others for its worth
 	MaxAttempts int
 	MaxComeBack time.Duration // longest come-back time clients obey; 0: none
 	AskForList  bool          // list changes come only once asked for
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,9 +66,9 @@
 	limitLeast      = 0.7    // share of the first limit that it keeps: no queue comes of that
 	limitPerBackend = 5.0    // at the start, over all balancers: busy without a queue
 	limitLowest     = 0.75   // the part of the limit for work worth next to nothing
-	openLeast       = 0.25   // the same of own traffic, where it is unlike the others'
 	arriveWeight    = 0.02   // of one arrival in own traffic: bursts are not traffic
 	arriveFirst     = 5.0    // arrivals that the start counts for
+	evenValue       = 0.3    // what every class's is where none is to be worse off than others
 	saveMost        = 3.0    // calls that may be saved up or owed: covers chance, not a flood
 	saveLeast       = 1.0    // the same where traffic is unlike: many balancers' calls meet at a backend
 	saveShare       = 0.5    // and as a part of the limit: the more traffic, the larger its bursts
@@ -262,6 +262,9 @@
 		best = max(best, b.classes[i].value())
 	}
 	value := b.classes[q.Class].value() / best
+	if b.set.EvenClasses { // guards against the class of least worth that pays for all others
+		value = evenValue
+	}
 	if q.Retry { // guards against a client's many tries that crowd out the first ones of others
 		value = -value
 	}
@@ -719,16 +722,15 @@
 	t := b.tally(now, b.listed)
 	// Guards against work turned away where latencies are long without any queue. One late call counts as 1.
 	target := max(strainTarget, min(strainCeiling, restFactor*c.rest/float64(max(c.Aim, 1))))
-	least := limitLeast
 	if b.set.Uneven { // a few calls tell of no latency at rest
-		target, least = strainUneven, openLeast
+		target = strainUneven
 	}
 	if t.calls+1 > limitInUse*b.limit()*t.warm {
 		step := limitStep * (target - min(strain, 1)) / max(t.warm, 1) / b.base
 		if step < 0 { // who holds more gives back more, so that balancers even out
 			step *= b.open
 		}
-		b.open = max(least, b.open+step)
+		b.open = max(limitLeast, b.open+step)
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1401,3 +1401,31 @@
 	}
 	return now
 }
+
+// Guards against the class of least worth that alone pays where the limit is short, and is the worst
+// served: where none is to be worse off, all classes are let in alike.
+func TestEvenClasses(t *testing.T) {
+	for _, even := range []bool{false, true} {
+		set := uneven()
+		set.Uneven, set.EvenClasses = false, even // the limit is set below, not by traffic
+		b, f := start(set, zoneLines("b", 10)...)
+		b.allow(safe, 700*ms)
+		b.allow(keyed, 700*ms) // a tenth of the worth
+		var sent [2]int
+		for i := range 2000 {
+			now := Time(i) * ms   // far more than fits, held for 100 ms
+			b.open, b.base = 1, 1 // ten calls
+			class := i % 2
+			before := len(f.sends)
+			id := fmt.Sprint(even, i)
+			b.Arrive(now, Request{ID: id, Class: class, Budget: 2000 * ms})
+			sent[class] += len(f.sends) - before
+			if i >= 100 {
+				b.Done(now, Outcome{Request: fmt.Sprint(even, i-100), Result: OK, Latency: 100 * ms, Final: true})
+			}
+		}
+		if alike := float64(sent[1]) > 0.8*float64(sent[0]); alike != even {
+			t.Errorf("even classes %t: %d of the worthiest sent, %d of the least", even, sent[0], sent[1])
+		}
+	}
+}
