A client that leaves takes its attempt with it, where cancelled work stops

Change: the module cancels what is out when the client has gone (limits.cancel, unlike traffic only); stop-attempt on the wire; on sockets the attempt's connection is closed, and the module hears Cancelled. Before tiers attempts run to their end, as before.

Tests: once and only where allowed (module), on the wire, an exchange given up (upstream), and the built program in both shapes.

--- a/cmd/oxbowloft/mesh_test.go
+++ b/cmd/oxbowloft/mesh_test.go
@@ -97,3 +97,29 @@
 		t.Errorf("%d refusals came late, %d with advice", late.Load(), advised.Load())
 	}
 }
+
+// A client that leaves takes its attempt with it where cancelled work stops; before tiers the attempt
+// runs to its end, since the backend works on it all the same.
+func TestMeshClientGone(t *testing.T) {
+	for _, mesh := range []bool{true, false} {
+		ended := make(chan time.Duration, 1)
+		b := standin.NewBackend(t, func(c *standin.Call) {
+			began := time.Now()
+			c.Hang()
+			ended <- time.Since(began)
+		})
+		begin := startOn
+		if mesh {
+			begin = startMesh
+		}
+		r := begin(t, b)
+		c := r.dial()
+		c.send(post("pay", "x", 2000))
+		r.eventually("the attempt", func() bool { return b.Calls() == 1 })
+		c.Close()
+		// A call that may not be repeated has all of its 2 s for its one attempt.
+		if took := <-ended; (took < 1200*time.Millisecond) != mesh {
+			t.Errorf("mesh %t: the attempt ended %v after it began", mesh, took)
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -188,6 +188,11 @@
 	in.act(wire.Action{Type: "fail", Txn: request})
 }
 
+// Cancel implements logic.Actions.
+func (in *instance) Cancel(request string, attempt int) {
+	in.act(wire.Action{Type: "stop-attempt", Txn: request, Shot: &attempt})
+}
+
 // Wake implements logic.Actions.
 func (in *instance) Wake(token uint64, after time.Duration) {
 	in.act(wire.Action{Type: "schedule", Nonce: &token, Wait: settings.Milliseconds(after)})
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -103,3 +103,30 @@
 		})
 	}
 }
+
+// Where each client process has a balancer: of requests at one time the marked retry goes without, the first
+// tries get through, and what is out when its client leaves is cancelled.
+func TestMeshOnTheWire(t *testing.T) {
+	setup := `{"type":"enlist","i":1,"init-seed":7,"setup":{"az":"z1","zones":["z1"],"kind-of-service":"mesh","balancers":2,` +
+		`"discovery":"pushed","stage":0,"classes":[{"name":"get","aim-ms":500,"give-up-ms":1000,"group":"all",` +
+		`"idempotency":"free","worth":1}],"limits":{"max-attempts":3,"cancel":true}}}`
+	marked := func(id string, bits int) string {
+		return fmt.Sprintf(`{"type":"job-in","i":1,"txn":%q,"kind":"get","budget-ms":1000,"state-bits":%d}`, id, bits)
+	}
+	in := batch(5, 1, setup, pool(0, "a:1"), list(1, 0)) +
+		batch(10, 2, marked("r1", 0), marked("r2", 0), marked("r3", 2), marked("r4", 6)) +
+		batch(20, 3, `{"type":"lapsed","i":1,"txn":"r1"}`)
+	var out bytes.Buffer
+	if err := Run(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`{"type":"pass-on","i":1,"txn":"r1"`, `{"type":"pass-on","i":1,"txn":"r2"`,
+		`{"type":"reject","i":1,"txn":"r3"`, `{"type":"reject","i":1,"txn":"r4"`,
+		`{"type":"stop-attempt","i":1,"txn":"r1","shot":0}`,
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,7 @@
 		MayTell       bool    `json:"may-tell"`
 		Probing       bool    `json:"probing"`
 		Streams       int     `json:"streams-per-conn"`
+		Cancel        bool    `json:"cancel"`
 		MaxAttempts   int     `json:"max-attempts"`
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		RetryAfter    bool    `json:"retry-after"`
@@ -109,6 +110,7 @@
 		Me:        o.Me,
 		Uneven:    o.Kind == KindMesh,
 		// By worth, the worst-served class is always the same one; where it weighs this much, it must not be.
+		Cancel:      o.Limits.Cancel && o.Kind == KindMesh,
 		EvenClasses: o.Goal.WorstClass > 0 && o.Goal.WorstClass >= o.Goal.Whole/2,
 		MaxAttempts: o.Limits.MaxAttempts,
 		AskForList:  o.Discovery == "on_request",
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -25,7 +25,7 @@
 	text := Config(listen, discovery, sockets, known)
 	for _, r := range [][2]string{
 		{`"zones":["z1","z2"],"balancers":1`, `"zones":["z1"],"kind-of-service":"mesh","balancers":100`},
-		{`"limits":{"conn-idle-ms"`, `"clients":{"marks-retry":true},"limits":{"streams-per-conn":100,"may-tell":true,"conn-idle-ms"`},
+		{`"limits":{"conn-idle-ms"`, `"clients":{"marks-retry":true},"limits":{"streams-per-conn":100,"may-tell":true,"cancel":true,"conn-idle-ms"`},
 		{`"retry-after":true`, `"retry-after":false`},
 	} {
 		text = strings.Replace(text, r[0], r[1], 1)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,10 +74,11 @@
 func (a *Answer) Timeout() bool { return http1.TimedOut(a.Err) }
 
 // Exchange sends one request, made by text with the time left for it, and reads
-// the answer, all before the deadline. It tries once: what fails is never sent
-// again by it. On return the connection is idle or closed.
-func (b *Backend) Exchange(deadline time.Time, text func(left time.Duration) []byte) Answer {
-	c, err := b.connect(deadline)
+// the answer, all before ctx is over, by its deadline or given up. It tries once:
+// what fails is never sent again by it. On return the connection is idle or closed.
+func (b *Backend) Exchange(ctx context.Context, text func(left time.Duration) []byte) Answer {
+	deadline, _ := ctx.Deadline()
+	c, err := b.connect(ctx)
 	if err != nil {
 		if errors.Is(err, errNoSlot) {
 			return Answer{Stage: Unsent, Err: err}
@@ -85,6 +86,8 @@
 		return Answer{Stage: Unopened, Err: err}
 	}
 	c.SetDeadline(deadline)
+	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer unwatch()
 	if _, err := c.Write(text(time.Until(deadline))); err != nil {
 		b.discard(c)
 		return Answer{Stage: Unopened, Err: err}
@@ -99,7 +102,8 @@
 		}
 		return Answer{Stage: stage, Err: err}
 	}
-	if resp.Close || c.Buffered() > 0 {
+	// One that ctx may have touched meanwhile carries no other exchange.
+	if !unwatch() || resp.Close || c.Buffered() > 0 {
 		b.discard(c)
 	} else {
 		b.keep(c)
@@ -115,7 +119,7 @@
 const restLeast = 2 * time.Millisecond
 
 // connect takes the newest idle connection that is still open, or opens one.
-func (b *Backend) connect(deadline time.Time) (*http1.Conn, error) {
+func (b *Backend) connect(ctx context.Context) (*http1.Conn, error) {
 	if c := b.reuse(restLeast); c != nil {
 		return c, nil
 	}
@@ -129,8 +133,8 @@
 	if spare != nil {
 		b.keep(spare)
 	}
-	d := net.Dialer{Deadline: deadline, Timeout: b.opt.DialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(context.Background(), "tcp", b.Addr)
+	d := net.Dialer{Timeout: b.opt.DialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", b.Addr)
 	if err != nil {
 		b.opt.Slots.Give()
 		return nil, err
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -39,7 +40,14 @@
 
 func get(time.Duration) []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") }
 
-func soon() time.Time { return time.Now().Add(10 * time.Second) }
+// until is a context that is over after d, and let go of at the test's end.
+func until(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func soon(t *testing.T) context.Context { return until(t, 10*time.Second) }
 
 func TestStages(t *testing.T) {
 	const short = 100 * time.Millisecond
@@ -70,7 +78,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			opt, s := options(5)
 			b := New(standin.NewBackend(t, c.handle).Addr(), opt)
-			a := b.Exchange(time.Now().Add(c.within), get)
+			a := b.Exchange(until(t, c.within), get)
 			if a.Stage != c.stage || a.Status != c.status || a.Timeout() != c.timeout {
 				t.Errorf("got %+v, timeout %t", a, a.Timeout())
 			}
@@ -89,7 +97,7 @@
 	opt, s := options(5)
 	stopped := standin.NewBackend(t, standin.Echo)
 	stopped.Stop()
-	if a := New(stopped.Addr(), opt).Exchange(soon(), get); a.Stage != Unopened || s.free.Load() != 5 {
+	if a := New(stopped.Addr(), opt).Exchange(soon(t), get); a.Stage != Unopened || s.free.Load() != 5 {
 		t.Errorf("got %+v, %d descriptors", a, s.free.Load())
 	}
 }
@@ -126,7 +134,7 @@
 				<-over
 			})
 			opt, _ := options(5)
-			a := New(ln.Addr().String(), opt).Exchange(time.Now().Add(c.within), huge)
+			a := New(ln.Addr().String(), opt).Exchange(until(t, c.within), huge)
 			close(over)
 			far.Wait()
 			if a.Stage != Unopened || a.Err == nil {
@@ -141,7 +149,7 @@
 	backend := standin.NewBackend(t, standin.Echo)
 	b := New(backend.Addr(), opt)
 	for range 3 {
-		if a := b.Exchange(soon(), get); a.Status != 200 || string(a.Body) != "GET /x " {
+		if a := b.Exchange(soon(t), get); a.Status != 200 || string(a.Body) != "GET /x " {
 			t.Fatalf("got %+v", a)
 		}
 		time.Sleep(restLeast)
@@ -157,13 +165,13 @@
 	if s.free.Load() != 5 {
 		t.Error("an idle connection is kept until close to its limit")
 	}
-	b.Exchange(soon(), get)
+	b.Exchange(soon(t), get)
 	b.Detach()()
 	if s.free.Load() != 5 {
 		t.Error("a detached connection is still open")
 	}
 	b.Close()
-	b.Exchange(soon(), get)
+	b.Exchange(soon(t), get)
 	if s.free.Load() != 5 {
 		t.Error("a connection of a closed backend is kept")
 	}
@@ -186,7 +194,7 @@
 				c.Raw(behind)
 			}).Addr(), opt)
 			for n := range 5 {
-				if a := b.Exchange(soon(), get); a.Err != nil || string(a.Body) != fmt.Sprint(n+1) {
+				if a := b.Exchange(soon(t), get); a.Err != nil || string(a.Body) != fmt.Sprint(n+1) {
 					t.Errorf("%s after %v: got %q, %v", name, after, a.Body, a.Err)
 				}
 			}
@@ -208,10 +216,10 @@
 	backend := standin.NewBackend(t, func(c *standin.Call) { c.Reply(200, fmt.Sprint(c.N)) })
 	b := New(backend.Addr(), opt)
 	defer b.Close()
-	b.Exchange(soon(), get)
+	b.Exchange(soon(t), get)
 	backend.Cut()
 	standin.Eventually(t, 10*time.Second, "cut", func() bool { _, open := backend.Conns(); return open == 0 })
-	if a := b.Exchange(soon(), get); a.Status != 200 || string(a.Body) != "2" {
+	if a := b.Exchange(soon(t), get); a.Status != 200 || string(a.Body) != "2" {
 		t.Errorf("got %+v", a)
 	}
 }
@@ -221,11 +229,11 @@
 	backend := standin.NewBackend(t, standin.Echo)
 	b := New(backend.Addr(), opt)
 	// With none to spare, a connection is not kept idle.
-	if a := b.Exchange(soon(), get); a.Status != 200 || s.free.Load() != 1 {
+	if a := b.Exchange(soon(t), get); a.Status != 200 || s.free.Load() != 1 {
 		t.Errorf("got %+v, %d descriptors", a, s.free.Load())
 	}
 	s.Take()
-	if a := b.Exchange(soon(), get); a.Stage != Unsent || backend.Calls() != 1 {
+	if a := b.Exchange(soon(t), get); a.Stage != Unsent || backend.Calls() != 1 {
 		t.Errorf("got %+v after %d calls", a, backend.Calls())
 	}
 }
@@ -240,7 +248,7 @@
 	}
 	done := make(chan bool)
 	for range 2 {
-		go func() { b.Exchange(soon(), get); done <- true }()
+		go func() { b.Exchange(soon(t), get); done <- true }()
 	}
 	hold <- true
 	hold <- true
@@ -251,3 +259,32 @@
 	}
 	b.Close()
 }
+
+// Guards against work that goes on for nobody: an exchange given up ends at once, its connection is
+// closed and carries nothing else, and its descriptor is given back.
+func TestGivenUp(t *testing.T) {
+	opt, s := options(1)
+	backend := standin.NewBackend(t, (*standin.Call).Hang)
+	b := New(backend.Addr(), opt)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	done := make(chan Answer)
+	go func() { done <- b.Exchange(ctx, get) }()
+	for deadline := time.Now().Add(20 * time.Second); backend.Calls() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no call came")
+		}
+	}
+	cancel()
+	select {
+	case a := <-done:
+		if a.Err == nil || a.Stage != Written || b.Idle() != 0 || s.free.Load() != 1 {
+			t.Errorf("got %+v, %d idle, %d descriptors", a, b.Idle(), s.free.Load())
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("goes on after it was given up")
+	}
+	if a := b.Exchange(ctx, get); a.Stage != Unopened {
+		t.Errorf("begun after it was given up: %+v", a)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -59,6 +59,7 @@
 	AllowFor float64 `json:"allow-for-ms,omitempty"`
 	ComeBack float64 `json:"come-back-ms,omitempty"`
 	Nonce    *uint64 `json:"nonce,omitempty"`
+	Shot     *int    `json:"shot,omitempty"`
 	Wait     float64 `json:"wait-ms,omitempty"`
 	Enable   bool    `json:"enable,omitempty"`
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -53,6 +53,7 @@
 	Balancers   int  // how many balancers send into this tier
 	Me          int  // this balancer's number among them, from 0
 	Uneven      bool // each client process has a balancer of its own: their traffic is unlike
+	Cancel      bool // work that is cancelled stops, and is given up when its client leaves
 	EvenClasses bool // no class is to be worse off than others for its worth
 	MaxAttempts int
 	MaxComeBack time.Duration // longest come-back time clients obey; 0: none
@@ -122,6 +123,8 @@
 	Refuse(request string, comeBack time.Duration)
 	// Fail answers that the request failed, promising nothing of its effect.
 	Fail(request string)
+	// Cancel gives up one attempt that is out; its outcome follows.
+	Cancel(request string, attempt int)
 	// Wake asks for a Wake event with token after the given time.
 	Wake(token uint64, after time.Duration)
 	// CloseIdle closes this balancer's idle connections to a backend.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -104,22 +104,21 @@
 	askWait  time.Duration
 	patience time.Duration // first ejection
 
-	open        float64 // the limit on calls in flight, as a multiple of the base
-	base        float64 // this balancer's part of the calls, for each unit of size
-	arrived     Time    // last first try of a client
-	arrivals    float64 // of such
-	between     float64 // mean time between them
-	need        float64 // mean latency that the limit allows them
-	arc         float64 // size within reach by own traffic
-	retryTokens float64
-	broken      float64 // share of recent outcomes
-	lost        float64 // share of time-outs on connections that had been idle
-	failing     float64 // share of outcomes, over longer
-	lastCall    Time    // sent, or not for want of a backend
-	gap         float64 // mean time between such calls
-	saved       float64 // calls that the limit left unused lately
-	settled     Time    // when saved was reckoned
-	hold        float64 // mean latency over all classes
+	open          float64 // the limit on calls in flight, as a multiple of the base
+	base          float64 // this balancer's part of the calls, for each unit of size
+	arrived       Time    // last first try of a client
+	arrivals      float64 // of such
+	between, need float64 // mean time between them, mean latency that the limit allows them
+	arc           float64 // size within reach by own traffic
+	retryTokens   float64
+	broken        float64 // share of recent outcomes
+	lost          float64 // share of time-outs on connections that had been idle
+	failing       float64 // share of outcomes, over longer
+	lastCall      Time    // sent, or not for want of a backend
+	gap           float64 // mean time between such calls
+	saved         float64 // calls that the limit left unused lately
+	settled       Time    // when saved was reckoned
+	hold          float64 // mean latency over all classes
 }
 
 type class struct {
@@ -206,7 +205,7 @@
 	if !r.Retry || c.budget == 0 { // a retry's budget is what its client has left, not the usual one
 		c.meet(r.Budget)
 	}
-	if !r.Retry { // guards against a limit that grows with every refusal
+	if b.set.Uneven && !r.Retry { // guards against a limit that grows with every refusal
 		b.reckon(now, c)
 	}
 	b.hold = cmp.Or(b.hold, c.cost)
@@ -222,9 +221,6 @@
 // traffic is unlike, as where each client process has its own: a part that were alike would starve the few
 // that carry most. The base is what its arrivals would have in flight at the latency aimed at.
 func (b *Balancer) reckon(now Time, c *class) {
-	if !b.set.Uneven {
-		return
-	}
 	wanted, count, size := strainTarget*float64(c.Aim), float64(len(b.listed)), 0.0
 	for _, m := range b.listed {
 		size += m.Size
@@ -560,8 +556,11 @@
 
 // Gone takes that a request has ended without us: its client left.
 func (b *Balancer) Gone(now Time, id string) {
-	if q := b.requests[id]; q != nil {
+	if q := b.requests[id]; q != nil && !q.ended {
 		q.ended = true
+		if b.set.Cancel && q.out > 0 { // guards against work that nobody waits for
+			b.act.Cancel(q.ID, len(q.attempts)-1)
+		}
 		b.forget(q)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -29,6 +29,7 @@
 	wakes   map[uint64]time.Duration
 	watches int
 	closed  int
+	cancels []string
 }
 
 func newFake() *fake {
@@ -49,7 +50,10 @@
 
 func (f *fake) Wake(token uint64, after time.Duration) { f.wakes[token] = after }
 func (f *fake) CloseIdle(backend string)               { f.closed++ }
-func (f *fake) WatchList()                             { f.watches++ }
+func (f *fake) Cancel(request string, attempt int) {
+	f.cancels = append(f.cancels, fmt.Sprint(request, " ", attempt))
+}
+func (f *fake) WatchList() { f.watches++ }
 
 // last is the newest send.
 func (f *fake) last(t *testing.T) sent {
@@ -1421,7 +1425,8 @@
 			b.Arrive(now, Request{ID: id, Class: class, Budget: 2000 * ms})
 			sent[class] += len(f.sends) - before
 			if i >= 100 {
-				b.Done(now, Outcome{Request: fmt.Sprint(even, i-100), Result: OK, Latency: 100 * ms, Final: true})
+				done := fmt.Sprint(even, i-100)
+				b.Done(now, Outcome{Request: done, Result: OK, Latency: 100 * ms, Final: true})
 			}
 		}
 		if alike := float64(sent[1]) > 0.8*float64(sent[0]); alike != even {
@@ -1429,3 +1434,31 @@
 		}
 	}
 }
+
+// Guards against work that nobody waits for: where cancelled work stops, what is out is given up when
+// its client leaves, once; elsewhere it runs to its end.
+func TestCancelWhenClientLeaves(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		set := uneven()
+		set.Cancel = cancel
+		b, f := start(set, zoneLines("b", 3)...)
+		b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+		b.Gone(ms, "r")
+		b.Gone(2*ms, "r")
+		if want := map[bool]string{true: "[r 0]", false: "[]"}[cancel]; fmt.Sprint(f.cancels) != want {
+			t.Errorf("cancel %t: cancelled %v, want %v", cancel, f.cancels, want)
+		}
+		m := b.backends[f.sends[0].backend]
+		b.Done(3*ms, Outcome{Request: "r", Result: Cancelled, Latency: 3 * ms, Final: true})
+		if m.inFlight != 0 || m.failures != 0 || len(b.requests) != 0 || len(f.answers) != 0 {
+			t.Errorf("cancel %t: %d in flight, failures %v, %d requests, answers %v",
+				cancel, m.inFlight, m.failures, len(b.requests), f.answers)
+		}
+		b.Arrive(4*ms, Request{ID: "served", Class: safe, Budget: 2000 * ms})
+		b.Done(5*ms, Outcome{Request: "served", Result: OK, Latency: ms, Final: true})
+		b.Gone(6*ms, "served")
+		if len(f.cancels) > 1 {
+			t.Errorf("cancelled %v", f.cancels)
+		}
+	}
+}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -122,6 +122,13 @@
 
 func (w *world) CloseIdle(string) {}
 
+func (w *world) Cancel(request string, attempt int) {
+	q := w.open[request]
+	if !w.set.Cancel || q == nil || attempt < 0 || attempt >= len(q.tries) || q.tries[attempt].done {
+		w.failf("%s: attempt %d cancelled, which is not out", request, attempt)
+	}
+}
+
 func (w *world) WatchList() {
 	if w.rng.IntN(3) == 0 {
 		w.b.ListFailed(w.now)
@@ -155,7 +162,8 @@
 	class := w.rng.IntN(len(w.set.Classes))
 	w.open[id] = &openRequest{class: class, deadline: w.now + budget}
 	w.ids = append(w.ids, id)
-	w.b.Arrive(w.now, Request{ID: id, Class: class, Budget: budget})
+	retry := w.set.Uneven && w.rng.IntN(4) == 0
+	w.b.Arrive(w.now, Request{ID: id, Class: class, Budget: budget, Retry: retry})
 }
 
 // due fires wakes and time-outs whose time has come, in order.
@@ -272,6 +280,7 @@
 		set.Classes[i].Memory = 200 * ms // short enough to run out between attempts
 	}
 	set.AskForList, set.AskWithin = seed%3 == 0, 10000*ms
+	set.Uneven, set.Cancel, set.EvenClasses = seed%4 > 1, seed%8 > 3, seed%5 > 2
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), set: set,
 		open: map[string]*openRequest{}, backends: map[string]Backend{},
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -49,12 +50,13 @@
 
 // call is one request in the module's hands.
 type call struct {
-	id    string
-	name  string // its caller's id
-	sends int
-	steps chan step   // room for one step and the client's going
-	timer *time.Timer // of its backoff
-	ahead atomic.Bool // its caller has sent on before the answer
+	id     string
+	name   string // its caller's id
+	sends  int
+	cancel func()      // gives up the attempt sent last
+	steps  chan step   // room for one step and the client's going
+	timer  *time.Timer // of its backoff
+	ahead  atomic.Bool // its caller has sent on before the answer
 }
 
 type stepKind int
@@ -74,6 +76,7 @@
 	to       *upstream.Backend
 	sent     time.Time
 	timeout  time.Duration
+	ctx      context.Context // over once the attempt is given up
 	comeBack time.Duration
 }
 
@@ -153,6 +156,13 @@
 	})
 }
 
+// release lets go of what the attempt sent last held for its cancelling.
+func (d *driver) release(r *call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.cancel()
+}
+
 // forget lets go of a request that has its answer.
 func (d *driver) forget(r *call) {
 	d.mu.Lock()
@@ -248,7 +258,9 @@
 // Send implements logic.Actions.
 func (d *driver) Send(request, backend string, timeout time.Duration) {
 	r := d.calls[request]
-	r.steps <- step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now(), timeout: timeout}
+	s := step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now(), timeout: timeout}
+	s.ctx, r.cancel = context.WithDeadline(context.Background(), s.sent.Add(timeout))
+	r.steps <- s
 	r.sends++
 }
 
@@ -262,6 +274,13 @@
 	d.calls[request].steps <- step{kind: stepFail}
 }
 
+// Cancel implements logic.Actions.
+func (d *driver) Cancel(request string, attempt int) {
+	if r := d.calls[request]; r != nil && r.sends == attempt+1 {
+		r.cancel()
+	}
+}
+
 // Wake implements logic.Actions.
 func (d *driver) Wake(token uint64, after time.Duration) {
 	due := time.Now().Add(after)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -67,10 +68,14 @@
 		switch step.kind {
 		case stepSend:
 			c.conn.Watch(func() { p.driver.gone(call) }, func() { p.driver.ahead(call) })
-			got := step.to.Exchange(step.sent.Add(step.timeout), func(left time.Duration) []byte {
+			got := step.to.Exchange(step.ctx, func(left time.Duration) []byte {
 				return forward(req, step.to.Addr, body, left)
 			})
 			result, final := outcome(&got)
+			if got.Err != nil && errors.Is(step.ctx.Err(), context.Canceled) {
+				result = logic.Cancelled
+			}
+			p.driver.release(call)
 			p.driver.done(call, step, result, final)
 			p.stats.attempt(result)
 			switch {
