--- a/logic/logic.go
+++ b/logic/logic.go
@@ -753,9 +753,6 @@
 		return
 	}
 	m.failures += failureWeight * (failed - m.failures)
-	if b.set.Uneven && r == NoConnect {
-		m.failures = 1
-	}
 	b.failing += failingWeight * (failed - b.failing)
 	switch {
 	case a.trial:
