--- a/logic/logic.go
+++ b/logic/logic.go
@@ -77,8 +77,6 @@
 	coldCaution   = 1.5  // divides a cold backend's part: it may be a slow one, too
 	fullPause     = 0.5  // mean latencies of the class that a full backend is left alone
 
-	shortShare  = 1.3
-	shortCut    = 0.9
 	lostFactor  = 2.0  // mean latencies that a time-out counts for, where it may be a lost answer
 	lostShare   = 0.3  // of calls on connections idle before without an answer: those are stale, too
 	lostWeight  = 0.2  // of one of them: few balancers see many
@@ -301,11 +299,7 @@
 
 // try sends the next attempt if its full allowance fits, and else answers.
 func (b *Balancer) try(now Time, q *request) {
-	c := &b.classes[q.Class]
-	allowance := time.Duration(c.allowance)
-	if b.set.Uneven && !q.Retry && len(q.attempts) == 0 && c.allowance > (1-reserveShare)*float64(q.Budget) {
-		allowance = min(allowance, time.Duration(shortShare*c.cost)) // its client never has more patience
-	}
+	allowance := time.Duration(b.classes[q.Class].allowance)
 	if len(q.attempts) >= b.set.MaxAttempts || allowance > q.available(now) {
 		b.giveUp(q)
 		return
@@ -674,11 +668,7 @@
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
 		c.rest = min(c.cost, (1-restRise)*cmp.Or(c.rest, c.cost)+restRise*c.cost)
 	case TimedOut:
-		if latency >= shortCut*c.allowance { // else cut short by its client's patience
-			c.learn(c.allowance)
-		} else {
-			o.Result = Cancelled
-		}
+		c.learn(c.allowance)
 	case Error: // guards against an allowance that only ever sees the quick ones
 		if latency > lateError*c.allowance {
 			c.learn(c.allowance)
