--- a/logic/logic.go
+++ b/logic/logic.go
@@ -235,7 +235,7 @@
 	b.need += weight * (wanted - b.need)
 	calls := b.need / max(b.between, 1)
 	b.base = calls / max(size, 1)
-	if arc := max(reachLeast, calls/reachCalls) / min(1, b.open) * size / max(count, 1); arc > reachMore*b.arc || arc < b.arc/reachLess {
+	if arc := calls / reachCalls * size / max(count, 1); arc > reachMore*b.arc || arc < b.arc/reachLess {
 		b.arc = arc // seldom laid anew: each new backend in it costs a connection
 		for _, g := range b.groups {
 			b.reach(g)
