--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,8 +19,6 @@
 	// allowanceRank is the percentile that the allowance tracks. Lower retries
 	// sooner and repeats work that was close to done; higher waits on the dead.
 	allowanceRank    = 0.995
-	answerRank       = 0.98
-	answerMargin     = 1.25
 	allowanceStep    = 0.2  // how fast it follows against how much it jitters
 	allowanceFloor   = 0.02 // share of the class's deadline; below it lies noise
 	allowanceStart   = 0.35 // share of the first budget seen: two attempts fit
@@ -125,12 +123,11 @@
 
 type class struct {
 	Class
-	allowance  float64
-	cost       float64 // mean latency of an answer
-	answers    float64
-	rest       float64 // cost without a queue
-	budget     float64 // mean budget
-	high, most float64
+	allowance float64
+	cost      float64 // mean latency of an answer
+	answers   float64
+	rest      float64 // cost without a queue
+	budget    float64 // mean budget
 }
 
 type group struct {
@@ -666,15 +663,6 @@
 	switch o.Result {
 	case OK:
 		a.to.used = now
-		c.high = max(c.high, 1)
-		if latency >= c.high {
-			c.high *= math.Exp(allowanceStep * answerRank)
-		} else {
-			c.high *= math.Exp(-allowanceStep * (1 - answerRank))
-		}
-		if b.set.Uneven {
-			c.most = answerMargin * c.high
-		}
 		c.learn(latency)
 		c.answers++ // the first ones count for more: what cost began with is no latency
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
@@ -705,7 +693,6 @@
 		c.budget = float64(budget)
 		c.allowance = allowanceStart * c.budget
 		c.cost = c.allowance
-		c.high, c.most = c.allowance, math.Inf(1)
 	}
 	c.budget += meanWeight * (float64(budget) - c.budget)
 	c.bound()
@@ -725,7 +712,7 @@
 // bound keeps the allowance where attempts make sense. The ceiling is a
 // departure: an allowance that has grown past every budget would send nothing.
 func (c *class) bound() {
-	c.allowance = max(min(c.allowance, c.most, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
+	c.allowance = max(min(c.allowance, allowanceCeiling*c.budget), allowanceFloor*float64(c.Deadline))
 }
 
 // correctLimit moves the limit until the mean strain is on target, but only while it
