Tidy after a read of the whole change: one piece where two did the same

- TestBadConfig's two ways of swapping a key are one.
- A step carries its attempt's cancel: the driver's release, which took the module's lock once more for each attempt, goes, and the step's time-out, which its context holds, with it.
- Whether retries are marked is read from the settings, not kept beside them; the mark is looked up once.
- The listed backends' size is summed when the list changes, not at each arrival.
- A line of a test that set what was set already is gone.

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -94,13 +94,22 @@
 // the end of the test it must still run, unless the test has ended it, and must
 // then end on SIGTERM without a complaint.
 func start(t *testing.T, discovery string, sockets int, known string, args ...string) *running {
+	t.Helper()
+	return startAs(t, standin.Config, discovery, sockets, known, args...)
+}
+
+// configure is how a configuration is made: standin.Config or standin.Mesh.
+type configure func(listen, discovery string, sockets int, known string) string
+
+// startAs is start with a configuration of either shape.
+func startAs(t *testing.T, shape configure, discovery string, sockets int, known string, args ...string) *running {
 	t.Helper()
 	addr := freeAddr(t)
 	if len(args) == 0 {
 		args = []string{"--grace", "20ms"}
 	}
 	cmd := exec.Command(program, append([]string{"serve"}, args...)...)
-	config := writeConfig(t, standin.Config(addr, discovery, sockets, known))
+	config := writeConfig(t, shape(addr, discovery, sockets, known))
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+config)
 	r := launch(t, cmd, addr)
 	r.config = config
@@ -144,13 +153,22 @@
 
 // startOn starts the program before backends that are known from the start.
 func startOn(t *testing.T, backends ...*standin.Backend) *running {
+	t.Helper()
+	r, _ := startBefore(t, standin.Config, backends...)
+	return r
+}
+
+// startBefore starts the program with a configuration of either shape before
+// backends that its discovery names, too.
+func startBefore(t *testing.T, shape configure, backends ...*standin.Backend) (*running, *standin.Discovery) {
 	t.Helper()
 	var targets []string
 	for i, b := range backends {
 		targets = append(targets, standin.Target(fmt.Sprintf("s-%d", i), b.Addr()))
 	}
 	list := standin.List(1, true, targets...)
-	return start(t, standin.NewDiscovery(t, list).Addr(), 256, list)
+	d := standin.NewDiscovery(t, list)
+	return startAs(t, shape, d.Addr(), 256, list), d
 }
 
 func (r *running) signal(s os.Signal) {
@@ -1241,19 +1259,15 @@
 
 func TestBadConfig(t *testing.T) {
 	good := standin.Config("127.0.0.1:0", "127.0.0.1:1", 256, standin.List(1, true))
-	swap := func(old, with string) string {
-		if !strings.Contains(good, old) {
-			t.Fatalf("no %s in the configuration", old)
-		}
-		return strings.Replace(good, old, with, 1)
-	}
-	mesh := func(old, with string) string {
-		good := standin.Mesh("127.0.0.1:0", "127.0.0.1:1", 256, standin.List(1, true))
+	goodMesh := standin.Mesh("127.0.0.1:0", "127.0.0.1:1", 256, standin.List(1, true))
+	in := func(good, old, with string) string {
 		if !strings.Contains(good, old) {
 			t.Fatalf("no %s in the configuration", old)
 		}
 		return strings.Replace(good, old, with, 1)
 	}
+	swap := func(old, with string) string { return in(good, old, with) }
+	mesh := func(old, with string) string { return in(goodMesh, old, with) }
 	for _, c := range []struct{ name, text, want string }{
 		{"no JSON", "listen = 3", "invalid character"},
 		{"empty", "", "unexpected end"},
@@ -1293,7 +1307,7 @@
 	if out, err := exec.Command(program, "check", writeConfig(t, good)).Output(); err != nil || string(out) != "ok\n" {
 		t.Errorf("check of a good one: %q, %v", out, err)
 	}
-	if out, err := exec.Command(program, "check", writeConfig(t, mesh("mesh", "mesh"))).Output(); err != nil || string(out) != "ok\n" {
+	if out, err := exec.Command(program, "check", writeConfig(t, goodMesh)).Output(); err != nil || string(out) != "ok\n" {
 		t.Errorf("check of a good mesh: %q, %v", out, err)
 	}
 	cmd := exec.Command(program, "serve")
--- a/cmd/oxbowloft/mesh_test.go
+++ b/cmd/oxbowloft/mesh_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"os"
-	"os/exec"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,17 +12,7 @@
 // startMesh starts the program as one client process's proxy, before the backends.
 func startMesh(t *testing.T, backends ...*standin.Backend) *running {
 	t.Helper()
-	var targets []string
-	for i, b := range backends {
-		targets = append(targets, standin.Target("s-"+string(rune('a'+i)), b.Addr()))
-	}
-	list := standin.List(1, true, targets...)
-	addr := freeAddr(t)
-	cmd := exec.Command(program, "serve", "--grace", "20ms")
-	config := writeConfig(t, standin.Mesh(addr, standin.NewDiscovery(t, list).Addr(), 256, list))
-	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+config)
-	r := launch(t, cmd, addr)
-	r.config = config
+	r, _ := startBefore(t, standin.Mesh, backends...)
 	return r
 }
 
--- a/cmd/oxbowloft/reload_test.go
+++ b/cmd/oxbowloft/reload_test.go
@@ -73,10 +73,7 @@
 // A configuration that can't be used is told in one line, and nothing of it is
 // taken.
 func TestReloadOfBadConfig(t *testing.T) {
-	b := standin.NewBackend(t, standin.Echo)
-	list := standin.List(1, true, standin.Target("s-0", b.Addr()))
-	d := standin.NewDiscovery(t, list)
-	r := start(t, d.Addr(), 256, list)
+	r, d := startBefore(t, standin.Config, standin.NewBackend(t, standin.Echo))
 	r.eventually("a watch", func() bool { return d.Watches() == 1 })
 	good, err := os.ReadFile(r.config)
 	if err != nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,6 +98,7 @@
 	classes  []class
 	backends map[string]*backend
 	listed   []*backend // in the order of the groups
+	size     float64    // of them all
 	groups   []*group   // own zone first
 	requests map[string]*request
 	wakes    map[uint64]*request
@@ -222,10 +223,7 @@
 // traffic is unlike, as where each client process has its own: a part that were alike would starve the few
 // that carry most. The base is what its arrivals would have in flight at the latency aimed at.
 func (b *Balancer) reckon(now Time, c *class) {
-	wanted, count, size := strainTarget*float64(c.Aim), float64(len(b.listed)), 0.0
-	for _, m := range b.listed {
-		size += m.Size
-	}
+	wanted, count, size := strainTarget*float64(c.Aim), float64(len(b.listed)), b.size
 	if b.arrivals == 0 { // as if traffic were alike, until seen: guards against a flood at the start
 		b.need, b.between, b.arrivals = wanted, wanted/(b.base*max(size, 1)), arriveFirst
 	}
@@ -833,8 +831,9 @@
 	slices.SortFunc(b.listed, func(x, y *backend) int {
 		return cmp.Or(rank(x)-rank(y), cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.ID, y.ID))
 	})
-	b.groups = nil
+	b.groups, b.size = nil, 0
 	for i, m := range b.listed {
+		b.size += m.Size
 		if i == 0 || m.Zone != b.listed[i-1].Zone {
 			b.groups = append(b.groups, &group{})
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1341,7 +1341,6 @@
 		b.allow(safe, 700*ms)
 		b.classes[safe].cost, b.classes[safe].answers = float64(100*ms), 100
 		m := b.backends["b0"]
-		m.used = 0
 		for i := range 20 { // every fourth answer is lost
 			o, latency := OK, 100*ms
 			if i%4 == 3 {
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -75,8 +75,8 @@
 	attempt  int
 	to       *upstream.Backend
 	sent     time.Time
-	timeout  time.Duration
-	ctx      context.Context // over once the attempt is given up
+	ctx      context.Context // over at the attempt's time-out, or once it is given up
+	cancel   func()
 	comeBack time.Duration
 }
 
@@ -156,13 +156,6 @@
 	})
 }
 
-// release lets go of what the attempt sent last held for its cancelling.
-func (d *driver) release(r *call) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r.cancel()
-}
-
 // forget lets go of a request that has its answer.
 func (d *driver) forget(r *call) {
 	d.mu.Lock()
@@ -258,8 +251,9 @@
 // Send implements logic.Actions.
 func (d *driver) Send(request, backend string, timeout time.Duration) {
 	r := d.calls[request]
-	s := step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now(), timeout: timeout}
-	s.ctx, r.cancel = context.WithDeadline(context.Background(), s.sent.Add(timeout))
+	s := step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now()}
+	s.ctx, s.cancel = context.WithDeadline(context.Background(), s.sent.Add(timeout))
+	r.cancel = s.cancel
 	r.steps <- s
 	r.sends++
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -54,21 +54,20 @@
 
 // Proxy is one balancer on sockets.
 type Proxy struct {
-	cfg        *Config // of the start
-	reloads    sync.Mutex
-	phase      atomic.Int32
-	classes    map[string]int
-	longest    time.Duration // deadline
-	marksRetry bool
-	shortest   time.Duration
-	end        atomic.Int64 // of a drain, in Unix nanoseconds: no answer comes after it
-	sockets    *sockets
-	clients    *clients
-	driver     *driver
-	list       *discovery.Client
-	stats      *stats
-	listener   *net.TCPListener
-	tasks      sync.WaitGroup
+	cfg      *Config // of the start
+	reloads  sync.Mutex
+	phase    atomic.Int32
+	classes  map[string]int
+	longest  time.Duration // deadline
+	shortest time.Duration
+	end      atomic.Int64 // of a drain, in Unix nanoseconds: no answer comes after it
+	sockets  *sockets
+	clients  *clients
+	driver   *driver
+	list     *discovery.Client
+	stats    *stats
+	listener *net.TCPListener
+	tasks    sync.WaitGroup
 }
 
 // New returns a proxy that knows its list and does not listen yet.
@@ -77,11 +76,10 @@
 		return nil, err
 	}
 	p := &Proxy{
-		cfg:        cfg,
-		classes:    map[string]int{},
-		sockets:    newSockets(cfg.Limits.Sockets),
-		stats:      newStats(),
-		marksRetry: cfg.Settings.Clients.MarksRetry,
+		cfg:     cfg,
+		classes: map[string]int{},
+		sockets: newSockets(cfg.Limits.Sockets),
+		stats:   newStats(),
 	}
 	for i, c := range cfg.logic.Classes {
 		p.classes[c.Name] = i
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -75,7 +75,7 @@
 			if got.Err != nil && errors.Is(step.ctx.Err(), context.Canceled) {
 				result = logic.Cancelled
 			}
-			p.driver.release(call)
+			step.cancel()
 			p.driver.done(call, step, result, final)
 			p.stats.attempt(result)
 			switch {
@@ -129,12 +129,11 @@
 	default:
 		return in, http.StatusMethodNotAllowed, fmt.Errorf("method not allowed: %.20q", req.Method)
 	}
-	headers := [...]string{headerID, headerClass, headerTimeout, headerRetry}
-	marks := len(headers)
-	if !p.marksRetry {
-		marks-- // any header of a client's, like others
-	}
-	for _, header := range headers[:marks] {
+	marks := p.cfg.Settings.Clients.MarksRetry
+	for _, header := range [...]string{headerID, headerClass, headerTimeout, headerRetry} {
+		if header == headerRetry && !marks {
+			continue // any header of a client's, like others
+		}
 		if len(req.Header.Values(header)) > 1 {
 			return in, code, errors.New("more than one " + header)
 		}
@@ -159,11 +158,11 @@
 	if err != nil || ms == 0 || ms > maxTimeout {
 		return in, code, fmt.Errorf("bad %s %.40q", headerTimeout, req.Header.Get(headerTimeout))
 	}
-	if p.marksRetry {
-		if mark := req.Header.Get(headerRetry); mark != "" && mark != "0" && mark != "1" {
+	if mark := req.Header.Get(headerRetry); marks && mark != "" {
+		in.retry = mark == "1"
+		if !in.retry && mark != "0" {
 			return in, code, fmt.Errorf("bad %s %.40q", headerRetry, mark)
 		}
-		in.retry = req.Header.Get(headerRetry) == "1"
 	}
 	in.class = class
 	in.budget = time.Duration(ms) * time.Millisecond
