--- a/logic/logic.go
+++ b/logic/logic.go
@@ -292,8 +292,7 @@
 
 // available is the time really left for waits and attempts.
 func (q *request) available(now Time) time.Duration {
-	reserve := time.Duration(reserveShare * float64(q.Budget))
-	return max(0, q.deadline-now-reserve)
+	return max(0, q.deadline-now-time.Duration(reserveShare*float64(q.Budget)))
 }
 
 // try sends the next attempt if its full allowance fits, and else answers.
@@ -345,17 +344,12 @@
 	if t := b.dueTrial(now, q); t != nil {
 		return t
 	}
-	var open, healthy []*group
 	failing := func(g *group) float64 { return 1 - b.tally(now, g.members).count/float64(len(g.members)) }
 	load := func(g *group) float64 { return b.tally(now, g.members).load(0) }
-	for _, g := range b.groups {
-		if slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) }) {
-			open = append(open, g)
-			if failing(g) <= 0.5 {
-				healthy = append(healthy, g)
-			}
-		}
-	}
+	open := filter(b.groups, func(g *group) bool {
+		return slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) })
+	})
+	healthy := filter(open, func(g *group) bool { return failing(g) <= 0.5 })
 	if len(open) == 0 {
 		return b.leastFailing(now, q)
 	}
@@ -454,13 +448,15 @@
 
 // leastFailing serves when no backend is in use.
 func (b *Balancer) leastFailing(now Time, q *request) *backend {
-	var best *backend
-	for _, m := range b.listed {
-		if now >= m.paused && b.allowed(now, q, m) && (best == nil || m.failures < best.failures) {
-			best = m
-		}
+	may := filter(b.listed, func(m *backend) bool { return now >= m.paused && b.allowed(now, q, m) })
+	if len(may) == 0 {
+		return nil
 	}
-	return best
+	return slices.MinFunc(may, func(x, y *backend) int { return cmp.Compare(x.failures, y.failures) })
+}
+
+func filter[T any](all []T, keep func(T) bool) []T {
+	return slices.DeleteFunc(slices.Clone(all), func(x T) bool { return !keep(x) })
 }
 
 // A tally sums up backends in use. The limit is for each unit of warm size, so that it
@@ -506,9 +502,7 @@
 	q.out--
 	a.to.inFlight--
 	b.learnFrom(now, q, a, o)
-	if o.Final {
-		q.ended = true
-	}
+	q.ended = q.ended || o.Final
 	if !q.ended && q.out == 0 {
 		b.again(now, q, a)
 	}
@@ -521,9 +515,8 @@
 	wait := allowance * backoffShare * math.Pow(backoffGrowth, float64(len(q.attempts)-1))
 	wait = float64(b.jitter(time.Duration(wait)))
 	fits := wait+allowance <= float64(q.available(now)) && len(q.attempts) < b.set.MaxAttempts
-	// The retry traffic budget, a departure: when all backends slow together every
-	// allowance is short, and retries would burn what is left. Only attempts after
-	// one that may have been worked on count.
+	// The retry traffic budget, a departure: when all backends slow together every allowance is short, and
+	// retries would burn what is left. Only attempts after one that may have been worked on count.
 	price := 1.0
 	if last.notRun {
 		price = 0
@@ -566,46 +559,26 @@
 
 // mayHaveRun is the first attempt not proven to have had no effect, or nil.
 func (q *request) mayHaveRun() *attempt {
-	for i := range q.attempts {
-		if !q.attempts[i].notRun {
-			return &q.attempts[i]
-		}
+	if i := slices.IndexFunc(q.attempts, func(a attempt) bool { return !a.notRun }); i >= 0 {
+		return &q.attempts[i]
 	}
 	return nil
 }
 
 // mayRepeat is the one place that lets an attempt of q go to m: no effect twice.
 func (b *Balancer) mayRepeat(now Time, q *request, m *backend) bool {
-	if !b.repeatable(now, q) {
-		return false
-	}
 	c, ran := &b.classes[q.Class], q.mayHaveRun()
-	if c.Repeat != Keyed || ran == nil {
-		return true
-	}
-	switch c.Scope {
-	case ScopeZone:
-		return m.Zone == ran.to.Zone
-	case ScopeCell:
-		return m.Cell == ran.to.Cell
-	}
-	return true
+	within := c.Scope == ScopeAll || ran == nil ||
+		c.Scope == ScopeZone && m.Zone == ran.to.Zone || c.Scope == ScopeCell && m.Cell == ran.to.Cell
+	return b.repeatable(now, q) && (c.Repeat != Keyed || within)
 }
 
 // repeatable tells whether any backend may get another attempt of q.
 func (b *Balancer) repeatable(now Time, q *request) bool {
 	const memoryShare = 0.9 // the send must reach the backend while it remembers
-	if q.out > 0 {
-		return false // one attempt at a time
-	}
 	c, ran := &b.classes[q.Class], q.mayHaveRun()
-	switch {
-	case ran == nil || c.Repeat == Safe:
-		return true
-	case c.Repeat == Keyed:
-		return float64(now-ran.sent) < memoryShare*float64(c.Memory)
-	}
-	return false
+	return q.out == 0 && (ran == nil || c.Repeat == Safe || // one attempt at a time
+		c.Repeat == Keyed && float64(now-ran.sent) < memoryShare*float64(c.Memory))
 }
 
 // mayRefuse tells whether another try by the client is proven harmless.
@@ -736,9 +709,7 @@
 // one that fails fast has few calls in flight and would draw the most.
 func (b *Balancer) judge(now Time, a *attempt, c *class, r Result) {
 	m, failed := a.to, 0.0
-	if a.trial {
-		m.trialOut = false
-	}
+	m.trialOut = m.trialOut && !a.trial
 	switch r {
 	case OK:
 	case Error, TimedOut, NoConnect, Broken:
