--- a/cmd/oxbowloft/main.go
+++ b/cmd/oxbowloft/main.go
@@ -52,11 +52,11 @@
 				return err
 			}
 			cfg.Grace = grace
-			cfg.Limits.Tune()
 			p, err := proxy.New(cfg)
 			if err != nil {
 				return err
 			}
+			p.OnLimits = proxy.Limits.Tune
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			context.AfterFunc(ctx, stop) // a second signal ends the process
 			go func() {
@@ -80,9 +80,7 @@
 	}
 	if err != nil {
 		log.Printf("event=reload_failed err=%q", err)
-		return
 	}
-	cfg.Limits.Tune()
 }
 
 func check() *cobra.Command {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -40,7 +40,8 @@
 	IdleLimit   time.Duration // idle connections are closed by then
 	Slots       Slots
 
-	Opened atomic.Int64 // connections, to all backends
+	Opened  atomic.Int64 // connections, to all backends
+	Relayed atomic.Int64 // requests written whole
 }
 
 // Backend is one backend's address and the idle connections to it.
@@ -92,6 +93,7 @@
 		b.discard(c)
 		return Answer{Stage: Unopened, Err: err}
 	}
+	b.opt.Relayed.Add(1)
 	resp, body, err := c.ReadResponse()
 	if err != nil {
 		b.discard(c)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,9 +97,10 @@
 	rng      *rand.Rand
 	classes  []class
 	backends map[string]*backend
-	listed   []*backend // in the order of the groups
-	size     float64    // of them all
-	groups   []*group   // own zone first
+	banned   map[string]bool // by hand, whatever the list says; they need not be in it
+	listed   []*backend      // in the order of the groups
+	size     float64         // of them all
+	groups   []*group        // own zone first
 	requests map[string]*request
 	wakes    map[uint64]*request
 	token    uint64
@@ -155,6 +156,8 @@
 	paused   Time    // full lately: until then
 	used     Time    // last answer
 	gone     bool    // no longer listed
+	banned   bool    // out by hand
+	back     Time    // in again by hand, as a cold one: it was restarted meanwhile
 }
 
 type request struct {
@@ -181,6 +184,7 @@
 		set: set, act: act,
 		rng:      rand.New(rand.NewPCG(set.Seed, 0)),
 		backends: map[string]*backend{},
+		banned:   map[string]bool{},
 		requests: map[string]*request{},
 		wakes:    map[uint64]*request{},
 		lastCall: now, arrived: now,
@@ -370,7 +374,7 @@
 
 // allowed holds the rules alone: drains, cold backends, repeats.
 func (b *Balancer) allowed(now Time, q *request, m *backend) bool {
-	return m.State == Up && !m.gone && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
+	return m.State == Up && !m.gone && !m.banned && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
 }
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first
@@ -465,7 +469,7 @@
 
 func (b *Balancer) tally(now Time, members []*backend) (t tally) {
 	for _, m := range members {
-		if m.State == Up && m.ejected == 0 {
+		if m.State == Up && m.ejected == 0 && !m.banned {
 			warmth := m.warmth(now, &b.set)
 			t.count++
 			t.calls += float64(m.inFlight)
@@ -482,10 +486,11 @@
 
 // warmth is the share of its capacity that a backend surely has.
 func (m *backend) warmth(now Time, set *Settings) float64 {
-	if m.Started == 0 || set.WarmWithin == 0 || now-m.Started >= set.WarmWithin {
+	started := max(m.Started, m.back)
+	if started == 0 || set.WarmWithin == 0 || now-started >= set.WarmWithin {
 		return 1
 	}
-	age := max(0, float64(now-m.Started)/float64(set.WarmWithin))
+	age := max(0, float64(now-started)/float64(set.WarmWithin))
 	return max(0.01, set.ColdShare+(1-set.ColdShare)*age)
 }
 
@@ -771,10 +776,10 @@
 	}
 	m := b.backends[l.ID]
 	if m == nil {
-		m = &backend{sent: now, spacing: b.rng.Float64(), slowness: 1}
+		m = &backend{sent: now, spacing: b.rng.Float64(), slowness: 1, banned: b.banned[l.ID]}
 		b.backends[l.ID] = m
 		b.listed = append(b.listed, m)
-	} else if l.Started != m.Started { // restarted: nothing learned holds
+	} else if max(l.Started, m.back) != max(m.Started, m.back) { // restarted: nothing learned holds
 		m.failures, m.ejected, m.slowness = 0, 0, 1
 		m.sent, m.spacing = now, b.rng.Float64()
 	}
@@ -782,6 +787,34 @@
 	m.gone = l.State == Removed
 }
 
+// Detach takes a backend out by hand, until Attach and whatever the list says meanwhile.
+func (b *Balancer) Detach(id string) {
+	b.banned[id] = true
+	if m := b.backends[id]; m != nil {
+		m.banned = true
+	}
+	b.act.CloseIdle(id)
+}
+
+// Attach ends that. The return is a cold start, whatever the list knows of it. A trial brings it back soon:
+// guards against the first of the spaced calls, which may be long in coming, and an ejection from before.
+func (b *Balancer) Attach(now Time, id string) {
+	if m := b.backends[id]; m != nil && m.banned {
+		m.banned, m.back = false, now
+		m.failures, m.slowness, m.paused, m.spacing = 0, 1, 0, 0
+		m.ejected, m.trialAt = 1, now+b.jitter(b.patience)
+	}
+	delete(b.banned, id)
+}
+
+// Knows tells whether a backend is listed or out by hand.
+func (b *Balancer) Knows(id string) bool { return b.backends[id] != nil || b.banned[id] }
+
+// Avoided is how many listed backends get no calls now, by hand or by choice.
+func (b *Balancer) Avoided(now Time) int {
+	return len(filter(b.listed, func(m *backend) bool { return m.banned || m.ejected > 0 || now < m.paused }))
+}
+
 // regroup forgets the backends that are gone (attempts still out hold their own pointers) and orders the
 // rest by group: own zone first, then around the ring of zones, so that zones spill into different ones.
 func (b *Balancer) regroup() {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -24,7 +24,8 @@
 	Name      string           `json:"name"`
 	Listen    string           `json:"listen"`
 	Discovery string           `json:"discovery"`
-	Seed      string           `json:"seed"` // hex; empty: a random one
+	Admin     string           `json:"admin"` // the operators' address; empty: none
+	Seed      string           `json:"seed"`  // hex; empty: a random one
 	Limits    Limits           `json:"limits"`
 	Known     *json.RawMessage `json:"known"`
 	Settings  *settings.Object `json:"settings"`
@@ -32,6 +33,12 @@
 	// Grace is how long a drain goes on accepting; 0: DefaultGrace.
 	Grace time.Duration `json:"-"`
 
+	// ListenFD is the descriptor of a listening socket that the platform holds, to be
+	// taken in place of a socket of our own; 0: none.
+	ListenFD int `json:"-"`
+	// StateDir is shared by a process and the one that replaces it; empty: none.
+	StateDir string `json:"-"`
+
 	known *discovery.List
 	logic logic.Settings
 }
@@ -53,11 +60,21 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 32
+	leastShared     = 2 // descriptors for requests, however many processes share few
+)
+
+// listenFD is the variable that names an inherited listener, which comes after the
+// standard streams.
+const (
+	listenFD = "BALANCER_LISTEN_FD"
+	firstFD  = 3
+	lastFD   = 1 << 20
 )
 
 // Load reads the configuration file at path. What it lacks of name and
-// addresses comes from env, by the names BALANCER_NAME, BALANCER_LISTEN and
-// BALANCER_DISCOVERY.
+// addresses comes from env, by the names BALANCER_NAME, BALANCER_LISTEN,
+// BALANCER_DISCOVERY and BALANCER_ADMIN. BALANCER_LISTEN_FD names a listening socket,
+// TMPDIR the directory that is shared with a process that replaces this one.
 func Load(path string, env func(string) string) (*Config, error) {
 	if path == "" {
 		return nil, errors.New("no configuration: BALANCER_CONFIG is not set")
@@ -73,11 +90,17 @@
 	for _, v := range []struct {
 		to   *string
 		name string
-	}{{&c.Name, "NAME"}, {&c.Listen, "LISTEN"}, {&c.Discovery, "DISCOVERY"}} {
+	}{{&c.Name, "NAME"}, {&c.Listen, "LISTEN"}, {&c.Discovery, "DISCOVERY"}, {&c.Admin, "ADMIN"}} {
 		if *v.to == "" {
 			*v.to = env("BALANCER_" + v.name)
 		}
 	}
+	c.StateDir = env("TMPDIR")
+	if fd := env(listenFD); fd != "" {
+		if c.ListenFD, err = strconv.Atoi(fd); err != nil || c.ListenFD < firstFD || c.ListenFD > lastFD {
+			return nil, fmt.Errorf("%s: %q is no descriptor from %d on", listenFD, fd, firstFD)
+		}
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -103,6 +126,7 @@
 	}{
 		{"name", c.Name == to.Name},
 		{"listen", c.Listen == to.Listen},
+		{"admin", c.Admin == to.Admin},
 		{"settings", reflect.DeepEqual(c.Settings, to.Settings)},
 	} {
 		if !f.same {
@@ -114,7 +138,17 @@
 
 // check fills in defaults and tells what is wrong.
 func (c *Config) check() error {
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ name, addr string }{
+		{"listen", c.Listen}, {"discovery", c.Discovery}, {"admin", c.Admin},
+	} {
+		if a.name == "admin" && a.addr == "" {
+			continue
+		}
+		if _, port, err := net.SplitHostPort(a.addr); err == nil && a.name == "admin" {
+			if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+				return fmt.Errorf("admin: bad port in %q", a.addr)
+			}
+		}
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return fmt.Errorf("%s: %w", a.name, err)
 		}
@@ -169,11 +203,11 @@
 	return nil
 }
 
-// Tune sets the process up for the limits. It is for programs that are a proxy
-// and nothing else.
-func (l Limits) Tune() {
+// Tune sets the process up for the limits, of which it has a part where several
+// processes share them. It is for programs that are a proxy and nothing else.
+func (l Limits) Tune(processes int) {
 	const heapShare = 0.6 // of the memory; the rest is stacks, sockets and files
-	debug.SetMemoryLimit(int64(heapShare * l.MemoryMB * (1 << 20)))
+	debug.SetMemoryLimit(int64(heapShare * l.MemoryMB / float64(processes) * (1 << 20)))
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), int(math.Ceil(l.Cores))))
 	}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -248,6 +248,29 @@
 	return len(d.backends)
 }
 
+// listed is how many backends the list has, and how many of them are avoided.
+func (d *driver) listed() (all, avoided int) {
+	d.do(func(now logic.Time) { all, avoided = len(d.backends), d.balancer.Avoided(now) })
+	return all, avoided
+}
+
+// knows tells whether a backend is listed, or out by hand.
+func (d *driver) knows(id string) (yes bool) {
+	d.do(func(logic.Time) { yes = d.balancer.Knows(id) })
+	return yes
+}
+
+// byHand takes a backend out, or in again. It holds on return.
+func (d *driver) byHand(id string, out bool) {
+	d.do(func(now logic.Time) {
+		if out {
+			d.balancer.Detach(id)
+		} else {
+			d.balancer.Attach(now, id)
+		}
+	})
+}
+
 // Send implements logic.Actions.
 func (d *driver) Send(request, backend string, timeout time.Duration) {
 	r := d.calls[request]
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -9,11 +9,14 @@
 	"fmt"
 	"log"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"oxbowloft/internal/admin"
 	"oxbowloft/internal/discovery"
 	"oxbowloft/internal/http1"
 	"oxbowloft/internal/settings"
@@ -55,7 +58,6 @@
 // Proxy is one balancer on sockets.
 type Proxy struct {
 	cfg      *Config // of the start
-	reloads  sync.Mutex
 	phase    atomic.Int32
 	classes  map[string]int
 	longest  time.Duration // deadline
@@ -67,7 +69,19 @@
 	list     *discovery.Client
 	stats    *stats
 	listener *net.TCPListener
+	door     *admin.Door // nil: none
 	tasks    sync.WaitGroup
+
+	hands sync.Mutex // held while a ban is changed, in state and module
+	state *state
+
+	reloads   sync.Mutex
+	limits    Limits // of the newest configuration
+	processes int    // that share them
+
+	// OnLimits, if set, is told the limits and how many processes share them, at the
+	// start and whenever either changes.
+	OnLimits func(l Limits, processes int)
 }
 
 // New returns a proxy that knows its list and does not listen yet.
@@ -78,9 +92,10 @@
 	p := &Proxy{
 		cfg:     cfg,
 		classes: map[string]int{},
-		sockets: newSockets(cfg.Limits.Sockets),
-		stats:   newStats(),
+		stats:   newStats(len(cfg.logic.Classes)),
+		limits:  cfg.Limits,
 	}
+	p.sockets = newSockets(cfg.Limits.Sockets - p.doorSockets())
 	for i, c := range cfg.logic.Classes {
 		p.classes[c.Name] = i
 		p.longest = max(p.longest, c.Deadline)
@@ -121,7 +136,8 @@
 	}
 	p.reloads.Lock()
 	defer p.reloads.Unlock()
-	p.sockets.resize(cfg.Limits.Sockets)
+	p.limits = cfg.Limits
+	p.applyLimits()
 	moved := p.list.Move(cfg.Discovery)
 	if moved {
 		p.driver.listMoved()
@@ -145,16 +161,68 @@
 // Addr is where the proxy listens, from Serving on.
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
-// Listen binds the proxy's address; Run does it where it has not been done.
-func (p *Proxy) Listen() error {
-	ln, err := net.Listen("tcp", p.cfg.Listen)
+// doorSockets is how many descriptors are set aside for the operators' door.
+func (p *Proxy) doorSockets() int {
+	if p.cfg.Admin == "" {
+		return 0
+	}
+	return admin.Descriptors
+}
+
+// Listen takes the proxy's place: the addresses, and what it shares with a process that
+// it replaces. Run does it where it has not been done.
+func (p *Proxy) Listen() (err error) {
+	if p.state, err = openState(p.cfg.StateDir, p.cfg.Listen); err != nil {
+		log.Printf("event=state_failed err=%q", err) // it serves, but knows of no other
+	}
+	p.share(p.state.processes())
+	p.followBans()
+	if p.cfg.ListenFD != 0 {
+		p.listener, err = inherited(p.cfg.ListenFD)
+	} else {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", p.cfg.Listen); err == nil {
+			p.listener = ln.(*net.TCPListener)
+		}
+	}
 	if err != nil {
+		p.state.close()
 		return fmt.Errorf("listen: %w", err)
 	}
-	p.listener = ln.(*net.TCPListener)
+	if p.cfg.Admin != "" { // before serving, so that it can say no
+		if p.door, err = admin.Open(p.cfg.Admin, operated{p}); err != nil {
+			p.listener.Close()
+			p.state.close()
+			return err
+		}
+	}
 	return nil
 }
 
+// inherited is the listener at a descriptor that the platform has left to us.
+func inherited(fd int) (*net.TCPListener, error) {
+	// Looked at first: a descriptor that is none may be one of the runtime's own.
+	listens, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err != nil {
+		return nil, fmt.Errorf("%s: descriptor %d: %w", listenFD, fd, err)
+	}
+	if listens == 0 {
+		return nil, fmt.Errorf("%s: descriptor %d: not a listening socket", listenFD, fd)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: descriptor %d: %w", listenFD, fd, err)
+	}
+	t, ok := ln.(*net.TCPListener)
+	if !ok {
+		ln.Close()
+		return nil, fmt.Errorf("%s: descriptor %d: not a TCP socket", listenFD, fd)
+	}
+	return t, nil
+}
+
 // Run goes through the phases: it serves until ctx is over, then drains and
 // returns once nothing is in flight.
 func (p *Proxy) Run(ctx context.Context) error {
@@ -169,6 +237,7 @@
 	background, stop := context.WithCancel(context.Background())
 	p.tasks.Go(func() { p.list.Run(background) })
 	p.tasks.Go(func() { p.housekeeping(background) })
+	p.tasks.Go(func() { p.follow(background) })
 
 	log.Printf("event=start name=%q listen=%s tier=%d known=%d",
 		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known())
@@ -192,10 +261,14 @@
 		log.Printf("event=cut_off err=%q", "requests in flight past the longest deadline")
 	}
 	stop()
+	if p.door != nil {
+		p.door.Close()
+	}
 	for _, b := range p.driver.all() {
 		b.Close()
 	}
 	p.tasks.Wait()
+	p.state.close()
 	p.stats.log(p)
 	p.enter(Stopped)
 	return err
@@ -205,14 +278,19 @@
 // those that are open until so little is left before the end that hardly an attempt
 // fits: the module gets no more time than that, and refuses what does not. Guards
 // against callers with nobody to ask while several proxies start again one after the
-// other.
+// other. An inherited listener is left to the process that replaces this one.
 func (p *Proxy) drain(accepted <-chan error) {
 	end := time.Now().Add(p.cfg.Grace + p.longest)
 	p.end.Store(end.UnixNano())
 	p.enter(Draining)
-	p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
-	<-accepted
-	p.acceptRest()
+	if p.cfg.ListenFD != 0 { // another process accepts, and what waits in the kernel is its
+		p.listener.SetDeadline(time.Unix(1, 0))
+		<-accepted
+	} else {
+		p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
+		<-accepted
+		p.acceptRest()
+	}
 	p.listener.Close()
 	for p.clients.count() > 0 && time.Now().Before(end.Add(-p.shortest/hardlyFits)) {
 		time.Sleep(drainedEvery)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -59,8 +59,11 @@
 		p.turnAway(c, http.StatusConflict, errOpen)
 		return false
 	}
+	p.stats.open.Add(1)
+	defer p.stats.open.Add(-1)
 	defer p.driver.forget(call)
 	defer c.conn.Unwatch()
+	ends := &p.stats.ends[in.class]
 
 	// Step, attempt, outcome, until there is an answer.
 	for {
@@ -82,15 +85,17 @@
 			case call.ahead.Load():
 			case result == logic.OK:
 				p.stats.served(time.Since(start))
+				ends[fulfilled].Add(1)
 				return p.pass(c, req, &got)
 			case final:
+				ends[faulted].Add(1)
 				return p.answer(c, req, got.Status, nil, "rejected")
 			}
 		case stepRefuse:
-			p.stats.refused.Add(1)
+			ends[throttled].Add(1)
 			return p.answer(c, req, http.StatusServiceUnavailable, comeBack(step.comeBack), "refused")
 		case stepFail:
-			p.stats.failed.Add(1)
+			ends[faulted].Add(1)
 			return p.answer(c, req, http.StatusBadGateway, nil, "failed")
 		case stepAhead:
 			p.turnAway(c, http.StatusBadRequest, errAhead)
--- a/proxy/stats.go
+++ b/proxy/stats.go
@@ -14,7 +14,10 @@
 
 // stats count what a proxy does, for its log.
 type stats struct {
-	refused, failed, gone, bad, unwritten atomic.Int64
+	gone, bad, unwritten atomic.Int64
+
+	open atomic.Int64            // requests taken and not ended
+	ends [][endings]atomic.Int64 // of requests, by class
 
 	toldBad atomic.Int64 // when a bad request was last logged, in Unix nanoseconds
 
@@ -24,9 +27,17 @@
 	results  [logic.NeverSent + 1]int64
 }
 
-func newStats() *stats {
+// How a request can end for its client.
+const (
+	fulfilled = iota // a backend's 200 was written
+	throttled        // refused
+	faulted          // any other answer
+	endings
+)
+
+func newStats(classes int) *stats {
 	const longest = int64(time.Minute / time.Microsecond)
-	return &stats{latency: hdrhistogram.New(1, longest, 2), lateness: hdrhistogram.New(1, longest, 2)}
+	return &stats{ends: make([][endings]atomic.Int64, classes), latency: hdrhistogram.New(1, longest, 2), lateness: hdrhistogram.New(1, longest, 2)}
 }
 
 func (s *stats) served(d time.Duration) {
@@ -60,6 +71,14 @@
 	s.mu.Unlock()
 }
 
+// ended is how many requests of all classes ended in one way.
+func (s *stats) ended(how int) (n int64) {
+	for i := range s.ends {
+		n += s.ends[i][how].Load()
+	}
+	return n
+}
+
 // log writes the counts so far.
 func (s *stats) log(p *Proxy) {
 	used, most := p.sockets.inUse()
@@ -69,7 +88,7 @@
 	log.Printf("event=stats served=%d refused=%d failed=%d gone=%d bad=%d unwritten=%d p50_us=%d p99_us=%d "+
 		"error=%d cancelled=%d full=%d timed_out=%d no_connect=%d broken=%d never_sent=%d opened=%d sockets=%d sockets_most=%d "+
 		"timer_p99_us=%d timer_max_us=%d",
-		r[logic.OK], s.refused.Load(), s.failed.Load(), s.gone.Load(), s.bad.Load(), s.unwritten.Load(),
+		r[logic.OK], s.ended(throttled), s.ended(faulted), s.gone.Load(), s.bad.Load(), s.unwritten.Load(),
 		s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99),
 		r[logic.Error], r[logic.Cancelled], r[logic.Full], r[logic.TimedOut], r[logic.NoConnect], r[logic.Broken], r[logic.NeverSent],
 		p.driver.opt.Opened.Load(), used, most, s.lateness.ValueAtQuantile(99), s.lateness.Max())
