Messages over 64 KiB pass through; limits of progress in place of times; tests

Ruled out: memory and descriptors (13 of 64 MB, 139 of 1024), the module (no time-outs).

Change: http1 reads a first part and a Rest, Transfers carries it with a bounded number of buffers; the attempt's time-out counts from the request's last byte; what has passed through is spent and not sent again; heads have 2.25 s, bodies a pace.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,6 +1,7 @@
-// Package http1 reads HTTP/1.1 messages whole from a connection, for both sides
-// of a proxy. A Conn has one buffer, which grows as a message needs and is
-// compacted in place; http.ReadRequest and http.ReadResponse parse from it.
+// Package http1 reads HTTP/1.1 messages from a connection, for both sides of a
+// proxy: whole up to MaxBody, longer ones as a first part and a Rest that is still to
+// come. A Conn has one buffer, which grows as a message needs and is compacted in
+// place; http.ReadRequest and http.ReadResponse parse from it.
 package http1
 
 import (
@@ -17,8 +18,9 @@
 
 // Sizes of a message. What is larger ends as ErrHeadTooLarge or ErrBodyTooLarge.
 const (
-	MaxHead = 16 << 10
-	MaxBody = 64 << 10
+	MaxHead   = 16 << 10
+	MaxBody   = 64 << 10 // that is read whole
+	MaxStream = 32 << 20 // that passes through
 
 	// maxMessage leaves a chunked body room for its framing, and bounds what a
 	// crowd of large messages, each nearly whole, can hold in buffers.
@@ -51,11 +53,16 @@
 	end   int // of what has come
 	err   error
 	watch chan struct{} // closed when the watch is over
+
+	// Pace, if set, is called before each read of a body with what has come of it, to
+	// set the time that the read may take.
+	Pace func(body int64)
+	body int64 // below zero: none is under way
 }
 
 // NewConn returns a Conn on nc.
 func NewConn(nc net.Conn) *Conn {
-	c := &Conn{Conn: nc}
+	c := &Conn{Conn: nc, body: -1}
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
@@ -101,6 +108,9 @@
 			c.buf = grown
 		}
 	}
+	if c.Pace != nil && c.body >= 0 {
+		c.Pace(c.body)
+	}
 	n, err := c.Conn.Read(c.buf[c.end:])
 	c.end += n
 	if n > 0 {
@@ -132,14 +142,15 @@
 	return err
 }
 
-// source feeds the parser from the buffer, and the buffer from the connection.
-// A message stays in the buffer until it is parsed, so that what the parser
-// read ahead of it can be given back.
+// source feeds the parser from the buffer, and the buffer from the connection. What
+// the parser has read makes room: a body in many small chunks is far longer than what
+// it carries.
 type source struct{ c *Conn }
 
 func (s source) Read(p []byte) (int, error) {
 	c := s.c
 	if c.pos == c.end {
+		c.start = c.pos
 		if c.err = c.fill(); c.err != nil {
 			return 0, c.err
 		}
@@ -151,17 +162,37 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
-// parse runs read over the message at the start of the buffer, then uses it up.
-func (c *Conn) parse(request bool, read func(*bufio.Reader) ([]byte, error)) ([]byte, error) {
+// part is what parse has read of a message: its body so far, and whether that is all.
+type part struct {
+	body  []byte
+	whole bool
+	from  io.Reader // the body
+	size  int64     // of the body; below zero where nobody says
+}
+
+// parse runs read over the message at the start of the buffer, then uses it up. Where
+// more is to come, the rest goes on from there.
+func (c *Conn) parse(request bool, read func(*bufio.Reader) (part, error)) ([]byte, *Rest, error) {
 	if err := c.head(request); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	c.pos = c.start
+	c.pos, c.body = c.start, 0
 	br := readers.Get().(*bufio.Reader)
 	br.Reset(source{c})
-	body, err := read(br)
+	p, err := read(br)
+	if err == nil && !p.whole {
+		c.body = int64(len(p.body))
+		return p.body, &Rest{c: c, br: br, from: p.from, Size: p.size, came: c.body}, nil
+	}
+	return p.body, nil, c.used(br, err)
+}
+
+// used lets go of a message that has been read to its end, or as far as it can be.
+func (c *Conn) used(br *bufio.Reader, err error) error {
 	switch {
 	case err == nil:
+		// What the parser has read ahead is given back. All of it came with the last
+		// read: had the message's end come before, there would have been no other.
 		c.start = c.pos - br.Buffered()
 	case c.err != nil:
 		err = inside(c.err)
@@ -170,82 +201,164 @@
 	}
 	br.Reset(nil)
 	readers.Put(br)
+	c.body = -1
 	if c.start == c.end && len(c.buf) > keptBuf {
 		c.buf, c.start, c.pos, c.end = nil, 0, 0, 0
 	}
-	return body, err
+	return err
 }
 
-// ReadRequest reads a request and its body whole. The error is io.EOF where the
-// connection ended between messages.
-func (c *Conn) ReadRequest() (req *http.Request, body []byte, err error) {
-	body, err = c.parse(true, func(br *bufio.Reader) ([]byte, error) {
+// Rest is what is still to come of a message whose first part has been read.
+type Rest struct {
+	Size int64 // of the whole body; below zero where nobody says
+
+	c     *Conn
+	br    *bufio.Reader // nil once the message is over
+	from  io.Reader
+	came  int64
+	begun bool
+	err   error
+}
+
+// Begun tells whether anything has been read of the rest.
+func (r *Rest) Begun() bool { return r.begun }
+
+// Read reads what comes next, without waiting for more than something. Its error is
+// io.EOF at the message's end, after which the connection can carry another.
+func (r *Rest) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	r.begun = true
+	n, err := r.from.Read(p)
+	r.came += int64(n)
+	r.c.body = r.came
+	if r.came > MaxStream && err == nil {
+		err = ErrBodyTooLarge
+	}
+	if err == nil {
+		return n, nil
+	}
+	r.err = io.EOF
+	if !errors.Is(err, io.EOF) {
+		r.err = r.c.used(r.br, err)
+	} else {
+		r.c.used(r.br, nil)
+	}
+	r.br = nil
+	return n, r.err
+}
+
+// ReadRequest reads a request and its body, the first part of a long one. The error is
+// io.EOF where the connection ended between messages.
+func (c *Conn) ReadRequest() (req *http.Request, body []byte, rest *Rest, err error) {
+	body, rest, err = c.parse(true, func(br *bufio.Reader) (part, error) {
 		if req, err = http.ReadRequest(br); err != nil {
-			return nil, err
+			return part{}, err
 		}
 		waits := req.Header.Get("Expect") == "100-continue" && c.pos == c.end && br.Buffered() == 0
-		if waits && req.ContentLength <= MaxBody {
+		if waits && req.ContentLength <= MaxStream {
 			if _, c.err = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); c.err != nil {
-				return nil, c.err
+				return part{}, c.err
 			}
 		}
-		return c.readBody(br, req.Body, req.ContentLength)
+		return c.readBody(br, req.Body, req.ContentLength, time.Time{})
 	})
-	return req, body, err
+	return req, body, rest, err
 }
 
 // mostInterim is how many 1xx answers may come ahead of the final one.
 const mostInterim = 16
 
-// ReadResponse reads the final answer to a request and its body whole. An answer
-// must say where it ends: one that lasts as long as its connection can't be told
-// from one that was cut off.
-func (c *Conn) ReadResponse() (resp *http.Response, body []byte, err error) {
+// partWait is how long a body without a length may take until it is whole. One that
+// takes longer is passed on as it comes: guards against an answer that is held back
+// while its backend gives it bit by bit.
+const partWait = 100 * time.Millisecond
+
+// ReadResponse reads the final answer to a request and its body, the first part of a
+// long one, before deadline. An answer must say where it ends: one that lasts as long
+// as its connection can't be told from one that was cut off.
+func (c *Conn) ReadResponse(deadline time.Time) (resp *http.Response, body []byte, rest *Rest, err error) {
 	for range mostInterim {
-		body, err = c.parse(false, func(br *bufio.Reader) ([]byte, error) {
+		body, rest, err = c.parse(false, func(br *bufio.Reader) (part, error) {
 			if resp, err = http.ReadResponse(br, nil); err != nil {
-				return nil, err
+				return part{}, err
 			}
 			switch code := resp.StatusCode; {
 			case code == http.StatusSwitchingProtocols:
-				return nil, errors.New("switches to another protocol")
+				return part{}, errors.New("switches to another protocol")
 			case code < 200 || code == http.StatusNoContent || code == http.StatusNotModified:
-				return nil, nil
+				return part{whole: true}, nil
 			case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-				return nil, errors.New("no length")
+				return part{}, errors.New("no length")
+			}
+			if resp.StatusCode != http.StatusOK { // not worth passing on in parts
+				deadline = time.Time{}
 			}
-			return c.readBody(br, resp.Body, resp.ContentLength)
+			return c.readBody(br, resp.Body, resp.ContentLength, deadline)
 		})
 		if err != nil || resp.StatusCode >= 200 {
-			return resp, body, err
+			return resp, body, rest, err
 		}
 	}
-	return nil, nil, malformed("no final answer")
+	return nil, nil, nil, malformed("no final answer")
 }
 
-// readBody reads the body that r parses from br. One of known length gets its
-// memory once all of it is in the buffer: a crowd may tell a length and send
-// little.
-func (c *Conn) readBody(br *bufio.Reader, r io.Reader, length int64) ([]byte, error) {
-	if length > MaxBody {
-		return nil, ErrBodyTooLarge
-	}
-	if length >= 0 {
+// readBody reads the body that r parses from br: whole up to MaxBody, else its first
+// part. One of known length gets its memory once all of it is in the buffer: a crowd
+// may tell a length and send little. One without a length ends its first part early
+// where a deadline is given and it takes long; the deadline is in force on return.
+func (c *Conn) readBody(br *bufio.Reader, r io.Reader, length int64, deadline time.Time) (part, error) {
+	switch {
+	case length > MaxStream:
+		return part{}, ErrBodyTooLarge
+	case length > MaxBody:
+		body := make([]byte, min(length, int64(br.Buffered()+c.end-c.pos)))
+		_, err := io.ReadFull(r, body)
+		return part{body: body, from: r, size: length}, err
+	case length >= 0:
 		message := c.pos - br.Buffered() - c.start + int(length)
 		for c.end-c.start < message {
+			c.body = length - int64(message-(c.end-c.start))
 			if c.err = c.fill(); c.err != nil {
-				return nil, c.err
+				return part{}, c.err
 			}
 		}
 		body := make([]byte, length)
 		_, err := io.ReadFull(r, body)
-		return body, err
+		return part{body: body, whole: true}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
-	if len(body) > MaxBody {
-		return nil, ErrBodyTooLarge
+	body, until := make([]byte, 0, 512), time.Now().Add(partWait)
+	for len(body) <= MaxBody {
+		if !deadline.IsZero() && br.Buffered() == 0 && c.pos == c.end && until.Before(deadline) {
+			c.start = c.pos
+			c.SetReadDeadline(until)
+			err := c.fill()
+			c.SetReadDeadline(deadline)
+			if TimedOut(err) && !time.Now().Before(until) && len(body) > 0 {
+				return part{body: body, from: r, size: -1}, nil
+			}
+			if err != nil && !TimedOut(err) {
+				c.err = err
+				return part{}, err
+			}
+		}
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		c.body = int64(len(body))
+		switch {
+		case errors.Is(err, io.EOF) && len(body) <= MaxBody:
+			return part{body: body, whole: true}, nil
+		case errors.Is(err, io.EOF):
+			return part{body: body, from: r, size: -1}, nil // its end is read once more
+		case err != nil:
+			return part{}, err
+		}
 	}
-	return body, err
+	return part{body: body, from: r, size: -1}, nil
 }
 
 // Quiet tells whether an idle connection is still open with nothing to read, as
--- /dev/null
+++ b/internal/http1/pass.go
@@ -0,0 +1,139 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+)
+
+// Transfers is the bound on messages that pass through at a time, over all connections
+// of a process, and the buffers that carry them.
+type Transfers struct {
+	free chan []byte
+}
+
+const (
+	// passBuf carries a transfer. With the buffers of its two connections and its
+	// first part it is what a transfer holds.
+	passBuf  = 16 << 10
+	passHeld = passBuf + 2*keptBuf + firstBuf
+	chunkEnd = "\r\n"
+)
+
+// NewTransfers returns transfers that hold no more than so much memory, one at least.
+func NewTransfers(memory int64) *Transfers {
+	t := &Transfers{free: make(chan []byte, max(1, memory/passHeld))}
+	for range cap(t.free) {
+		t.free <- nil // made when first used
+	}
+	return t
+}
+
+// ErrBusy is that no transfer could be had in time.
+var ErrBusy = errors.New("too many long messages under way")
+
+// take waits for a buffer.
+func (t *Transfers) take(wait time.Duration) ([]byte, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case b := <-t.free:
+		if b == nil {
+			b = make([]byte, passBuf)
+		}
+		return b, nil
+	case <-timer.C:
+		return nil, ErrBusy
+	}
+}
+
+// takeLimit is how long a transfer waits for its buffer.
+const takeLimit = time.Second
+
+// ErrPassed marks the errors of the side that a message is passed on to.
+var ErrPassed = errors.New("not passed on")
+
+// Pass writes the rest of a message to another connection as it comes, in chunks where
+// its size is not known, or as it is with bare, where the connection's end is the
+// message's. before is called ahead of each write, to say how long it may take, and may
+// end the transfer. An error of the writing side is marked with ErrPassed.
+func (t *Transfers) Pass(to *Conn, r *Rest, bare bool, before func(passed int64) error) error {
+	buf, err := t.take(takeLimit)
+	if err != nil {
+		return err
+	}
+	defer func() { t.free <- buf }()
+	const room = 16 // ahead of a chunk, for its size
+	chunked := r.Size < 0 && !bare
+	passed := int64(0)
+	write := func(b []byte) error {
+		if err := before(passed); err != nil {
+			return err
+		}
+		if _, err := to.Write(b); err != nil {
+			return fmt.Errorf("%w: %w", ErrPassed, err)
+		}
+		passed += int64(len(b))
+		return nil
+	}
+	for {
+		n, readErr := r.Read(buf[room : len(buf)-len(chunkEnd)])
+		if n > 0 {
+			b := buf[room : room+n]
+			if chunked {
+				head := strconv.AppendInt(nil, int64(n), 16)
+				head = append(head, chunkEnd...)
+				b = append(buf[room-len(head):room-len(head)], head...)[:len(head)+n]
+				b = append(b, chunkEnd...)
+			}
+			if err := write(b); err != nil {
+				return err
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			if chunked {
+				return write([]byte("0\r\n\r\n"))
+			}
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
+
+// Discard reads the rest of a message to its end.
+func (r *Rest) Discard(t *Transfers) error {
+	buf, err := t.take(takeLimit)
+	if err != nil {
+		return err
+	}
+	defer func() { t.free <- buf }()
+	for {
+		if _, err := r.Read(buf); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
+// Drop lets go of a rest that nobody reads to its end; its connection is of no further
+// use.
+func (r *Rest) Drop() {
+	if r.br != nil {
+		r.c.used(r.br, ErrBodyTooLarge)
+		r.br, r.err = nil, io.ErrUnexpectedEOF
+	}
+}
+
+// Chunk is b as one chunk; nothing for none, which would be the end.
+func Chunk(b []byte) []byte {
+	if len(b) == 0 {
+		return nil
+	}
+	out := strconv.AppendInt(make([]byte, 0, len(b)+16), int64(len(b)), 16)
+	return append(append(append(out, chunkEnd...), b...), chunkEnd...)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,24 +62,74 @@
 // New returns a backend without connections.
 func New(addr string, opt *Options) *Backend { return &Backend{Addr: addr, opt: opt} }
 
+// Request is what an exchange sends.
+type Request struct {
+	Text      func(left time.Duration) []byte // head and body, or its first part, with the time left
+	Rest      *http1.Rest                     // of a long body; nil: none
+	Transfers *http1.Transfers                // for it
+	Written   func()                          // called once all of it is written; may be nil
+	Timeout   time.Duration                   // from then on, or from the start where there is no rest
+}
+
 // Answer is what came back.
 type Answer struct {
 	Stage  Stage
 	Status int
 	Header http.Header
-	Body   []byte
-	Err    error // nil for an answer that came whole
+	Body   []byte      // or its first part
+	Rest   *http1.Rest // of a long body; nil: none
+	Err    error       // nil for an answer that came whole, or its first part
+	Source error       // the request's rest could not be read: its sender's fault
+
+	release func(whole bool)
+}
+
+// Release lets go of the connection of an answer with a rest: whole, if that has been
+// read to its end.
+func (a *Answer) Release(whole bool) {
+	if a.release != nil {
+		a.release(whole)
+		a.release = nil
+	}
+}
+
+const (
+	// stall and slowest bound a transfer to or from a backend: how long it may stand
+	// still, and how slow it may be on the whole, in bytes a second. Peers may take
+	// seconds over a part; one that takes for ever holds a connection and a buffer.
+	stall   = 5 * time.Second
+	slowest = 16 << 10
+	// early is how long an answer to a half-sent request may take to be read once its
+	// connection has broken.
+	early = 50 * time.Millisecond
+)
+
+// Progress returns what says how long each step of a transfer may take, by what has
+// passed since now.
+func Progress(set func(time.Time) error) func(passed int64) {
+	start := time.Now()
+	return func(passed int64) {
+		now := time.Now()
+		end := start.Add(stall + time.Duration(passed)*time.Second/slowest)
+		if most := now.Add(stall); most.Before(end) {
+			end = most
+		}
+		set(end)
+	}
 }
 
+var errEarly = errors.New("answered before the request's end")
+
 // Timeout tells whether the exchange ended because its time was up.
 func (a *Answer) Timeout() bool { return http1.TimedOut(a.Err) }
 
-// Exchange sends one request, made by text with the time left for it, and reads
-// the answer, all before ctx is over, by its deadline or given up. It tries once:
-// what fails is never sent again by it. On return the connection is idle or closed.
-func (b *Backend) Exchange(ctx context.Context, text func(left time.Duration) []byte) Answer {
-	deadline, _ := ctx.Deadline()
-	c, err := b.connect(ctx)
+// Exchange sends one request and reads the answer, or the first part of a long one,
+// all within the request's time-out or until ctx is over. It tries once: what fails is
+// never sent again by it. On return the connection is idle or closed, unless the answer
+// has a rest.
+func (b *Backend) Exchange(ctx context.Context, req *Request) Answer {
+	deadline := time.Now().Add(req.Timeout)
+	c, err := b.connect(ctx, deadline)
 	if err != nil {
 		if errors.Is(err, errNoSlot) {
 			return Answer{Stage: Unsent, Err: err}
@@ -89,12 +139,42 @@
 	c.SetDeadline(deadline)
 	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer unwatch()
-	if _, err := c.Write(text(time.Until(deadline))); err != nil {
+	if _, err := c.Write(req.Text(time.Until(deadline))); err != nil {
 		b.discard(c)
 		return Answer{Stage: Unopened, Err: err}
 	}
+	if req.Rest != nil {
+		err := passRest(c, req)
+		switch {
+		case errors.Is(err, errEarly), errors.Is(err, http1.ErrPassed):
+			// It said no before the end, or broke: what it said counts.
+			if errors.Is(err, http1.ErrPassed) {
+				req.Timeout = early
+			}
+			deadline = time.Now().Add(req.Timeout)
+			c.SetDeadline(deadline)
+			resp, body, rest, readErr := c.ReadResponse(deadline)
+			b.discard(c)
+			if readErr != nil || rest != nil {
+				return Answer{Stage: Unopened, Err: err}
+			}
+			return Answer{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+		case err != nil:
+			b.discard(c)
+			return Answer{Stage: Unopened, Err: err, Source: err}
+		}
+		deadline = time.Now().Add(req.Timeout) // the backend begins at the last byte
+		c.SetDeadline(deadline)
+		if ctx.Err() != nil {
+			b.discard(c)
+			return Answer{Stage: Written, Err: ctx.Err()}
+		}
+	}
 	b.opt.Relayed.Add(1)
-	resp, body, err := c.ReadResponse()
+	if req.Written != nil {
+		req.Written()
+	}
+	resp, body, rest, err := c.ReadResponse(deadline)
 	if err != nil {
 		b.discard(c)
 		stage := Written
@@ -105,12 +185,40 @@
 		return Answer{Stage: stage, Err: err}
 	}
 	// One that ctx may have touched meanwhile carries no other exchange.
-	if !unwatch() || resp.Close || c.Buffered() > 0 {
-		b.discard(c)
+	fit := unwatch() && !resp.Close
+	answer := Answer{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, Rest: rest}
+	answer.release = func(whole bool) {
+		c.Pace = nil
+		if !whole || !fit || c.Buffered() > 0 {
+			if rest != nil {
+				rest.Drop()
+			}
+			b.discard(c)
+		} else {
+			c.SetDeadline(time.Time{})
+			b.keep(c)
+		}
+	}
+	if rest != nil {
+		c.SetDeadline(time.Time{})
+		c.Pace = Progress(c.SetReadDeadline)
 	} else {
-		b.keep(c)
+		answer.Release(true)
 	}
-	return Answer{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+	return answer
+}
+
+// passRest sends the rest of a long request on as it comes. An answer that comes
+// meanwhile ends it: the backend has said no.
+func passRest(c *http1.Conn, req *Request) error {
+	within := Progress(c.SetWriteDeadline)
+	return req.Transfers.Pass(c, req.Rest, false, func(passed int64) error {
+		if c.More() {
+			return errEarly
+		}
+		within(passed)
+		return nil
+	})
 }
 
 var errNoSlot = errors.New("no descriptor to spare")
@@ -121,7 +229,7 @@
 const restLeast = 2 * time.Millisecond
 
 // connect takes the newest idle connection that is still open, or opens one.
-func (b *Backend) connect(ctx context.Context) (*http1.Conn, error) {
+func (b *Backend) connect(ctx context.Context, deadline time.Time) (*http1.Conn, error) {
 	if c := b.reuse(restLeast); c != nil {
 		return c, nil
 	}
@@ -135,7 +243,7 @@
 	if spare != nil {
 		b.keep(spare)
 	}
-	d := net.Dialer{Timeout: b.opt.DialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: b.opt.DialTimeout, Deadline: deadline, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", b.Addr)
 	if err != nil {
 		b.opt.Slots.Give()
--- a/logic/api.go
+++ b/logic/api.go
@@ -113,6 +113,7 @@
 	Result  Result
 	Latency time.Duration // since the send
 	Final   bool          // the request has had its final answer
+	Spent   bool          // it can't be sent again: a part of it has passed through
 }
 
 // Actions carries out what the module decides, in the order of the calls.
--- /dev/null
+++ b/logic/ban_test.go
@@ -0,0 +1,212 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// served runs n requests of a class, one at a time and each answered in 50 ms, from
+// time at on and 100 ms apart. It returns when each backend got its first, and the time
+// after the last.
+func served(t *testing.T, b *Balancer, f *fake, at Time, class, n int) (first map[string]Time, end Time) {
+	t.Helper()
+	first = map[string]Time{}
+	for i := range n {
+		id := fmt.Sprint(at, " ", i)
+		from := len(f.sends)
+		b.Arrive(at, Request{ID: id, Class: class, Budget: 2000 * ms})
+		if len(f.sends) == from {
+			if len(f.answers[id]) != 1 {
+				t.Fatalf("%s has neither a send nor one answer", id)
+			}
+			at += 100 * ms
+			continue
+		}
+		to := f.last(t).backend
+		if _, ok := first[to]; !ok {
+			first[to] = at
+		}
+		b.Done(at+50*ms, Outcome{Request: id, Result: OK, Latency: 50 * ms, Final: true})
+		at += 100 * ms
+	}
+	return first, at
+}
+
+// Guards against sends to a backend that is out by hand, by any way to choose one and
+// whatever the list says meanwhile.
+func TestDetached(t *testing.T) {
+	lines := append(zoneLines("b", 2), line("a", 0))
+	all := func(b *Balancer, now Time) { b.List(now, true, lines) }
+	for _, c := range []struct {
+		name string
+		then func(b *Balancer, now Time)
+	}{
+		{"nothing", func(*Balancer, Time) {}},
+		{"whole list", all},
+		{"removed and listed again", func(b *Balancer, now Time) {
+			b.List(now, false, []Backend{{ID: "b0", State: Removed}})
+			if !b.Knows("b0") {
+				t.Error("a backend that is out by hand is forgotten")
+			}
+			all(b, now+ms)
+		}},
+		{"restarted", func(b *Balancer, now Time) {
+			l := line("b", 0)
+			l.Started = now
+			b.List(now, false, []Backend{l})
+		}},
+		{"a list without it, then with it", func(b *Balancer, now Time) {
+			b.List(now, true, lines[1:])
+			all(b, now+ms)
+		}},
+		{"ejected, its trial due", func(b *Balancer, now Time) { b.eject(now-time.Hour, b.backends["b0"]) }},
+		{"all others ejected", func(b *Balancer, now Time) {
+			b.eject(now, b.backends["b1"])
+			b.eject(now, b.backends["a0"])
+		}},
+		{"all others turn calls away", func(b *Balancer, now Time) {
+			b.backends["b1"].paused, b.backends["a0"].paused = now+time.Hour, now+time.Hour
+		}},
+		{"taken out twice", func(b *Balancer, now Time) { b.Detach("b0") }},
+	} {
+		for class := range testSettings().Classes {
+			b, f := start(testSettings(), lines...)
+			_, at := served(t, b, f, 0, class, 20)
+			b.Detach("b0")
+			c.then(b, at)
+			if got, _ := served(t, b, f, at+10*ms, class, 60); got["b0"] != 0 {
+				t.Errorf("%s, class %d: a send at %v", c.name, class, got["b0"])
+			}
+			if n := b.Avoided(at + 20*time.Second); n < 1 || n > len(lines) {
+				t.Errorf("%s: %d avoided", c.name, n)
+			}
+		}
+	}
+}
+
+// A request whose first attempt failed waits for its backoff; what is detached in the
+// meantime gets no second one.
+func TestDetachedInBackoff(t *testing.T) {
+	b, f := start(testSettings(), line("b", 0))
+	b.allow(safe, 100*ms)
+	b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+	b.Done(10*ms, Outcome{Request: "r", Result: NoConnect, Latency: 10 * ms})
+	token, wait := f.wait(t)
+	b.Detach("b0")
+	b.Wake(10*ms+wait, token)
+	if len(f.sends) != 1 || len(f.answers["r"]) != 1 || !f.answers["r"][0].refused {
+		t.Errorf("%d sends, answers %v", len(f.sends), f.answers["r"])
+	}
+}
+
+// With the last usable backend out, requests are refused at once.
+func TestLastDetached(t *testing.T) {
+	b, f := start(testSettings(), line("b", 0))
+	b.Detach("b0")
+	b.Arrive(0, Request{ID: "r", Class: unsafe, Budget: 2000 * ms})
+	if len(f.sends) != 0 || len(f.answers["r"]) != 1 || !f.answers["r"][0].refused {
+		t.Errorf("%d sends, answers %v", len(f.sends), f.answers["r"])
+	}
+}
+
+// Guards against a backend that is left unused after its return: by the random first
+// wait of cold backends, an ejection from before, or a pace from before. Its second
+// call is spaced as a cold one's, whatever the list knows of its start.
+func TestAttached(t *testing.T) {
+	lines := append(zoneLines("b", 8), zoneLines("a", 8)...)
+	for seed := range uint64(20) {
+		for _, before := range []func(b *Balancer, at Time){
+			func(*Balancer, Time) {},
+			func(b *Balancer, at Time) { b.eject(at, b.backends["b0"]); b.backends["b0"].ejected = 4 },
+			func(b *Balancer, at Time) { b.backends["b0"].slowness = 50 },
+		} {
+			set := testSettings()
+			set.Seed = seed
+			b, f := start(set, lines...)
+			_, at := served(t, b, f, 0, safe, 50)
+			before(b, at)
+			b.Detach("b0")
+			_, at = served(t, b, f, at, safe, 50)
+			b.Attach(at, "b0")
+			if w := b.backends["b0"].warmth(at, &set); w > 2*set.ColdShare {
+				t.Fatalf("back with a warmth of %.2f", w)
+			}
+			from := len(f.sends)
+			first, end := served(t, b, f, at, safe, 40)
+			if got, ok := first["b0"]; !ok || got-at > 4*time.Second {
+				t.Errorf("seed %d: first call after %v", seed, got-at)
+			}
+			calls := 0
+			for _, s := range f.sends[from:] {
+				if s.backend == "b0" {
+					calls++
+				}
+			}
+			if calls > 2 {
+				t.Errorf("seed %d: %d calls to a cold backend in %v", seed, calls, end-at)
+			}
+		}
+	}
+}
+
+// Calls that repeat, come for ids that nobody has, or for a backend that is not out,
+// change nothing; a ban outlives the backend's place in the list.
+func TestByHandAgain(t *testing.T) {
+	b, f := start(testSettings(), zoneLines("b", 2)...)
+	if b.Knows("nobody") || !b.Knows("b0") {
+		t.Error("knows nobody, or not b0")
+	}
+	b.Attach(0, "b0")
+	if m := b.backends["b0"]; m.ejected != 0 || m.back != 0 {
+		t.Error("a backend that was not out starts cold")
+	}
+	b.Attach(0, "nobody")
+	b.Detach("b0")
+	b.Detach("b0")
+	b.List(ms, false, []Backend{{ID: "b0", State: Removed}})
+	b.Attach(2*ms, "b0")
+	b.List(3*ms, false, []Backend{line("b", 0)})
+	if first, _ := served(t, b, f, 10*ms, safe, 10); first["b0"] == 0 {
+		t.Error("out after the call back")
+	}
+	if n := b.Avoided(time.Second); n != 0 {
+		t.Errorf("%d avoided", n)
+	}
+}
+
+// News of a restart from before the return says nothing new: guards against a first
+// call that is put off by it.
+func TestAttachedThenOldNews(t *testing.T) {
+	b, _ := start(testSettings(), zoneLines("b", 2)...)
+	b.Detach("b0")
+	b.Attach(1000*ms, "b0")
+	due := b.backends["b0"].trialAt
+	l := line("b", 0)
+	l.Started = 900 * ms
+	b.List(1100*ms, false, []Backend{l})
+	if m := b.backends["b0"]; m.ejected != 1 || m.trialAt != due || m.spacing != 0 {
+		t.Errorf("the trial is gone: %+v", m)
+	}
+}
+
+// What has passed through can't be sent again, even where it never ran; what has not
+// can. Guards against a second attempt with half a body.
+func TestSpent(t *testing.T) {
+	for _, c := range []struct {
+		spent bool
+		sends int
+	}{{true, 1}, {false, 2}} {
+		b, f := start(testSettings(), zoneLines("b", 2)...)
+		b.allow(safe, 100*ms)
+		b.Arrive(0, Request{ID: "r", Class: safe, Budget: 2000 * ms})
+		b.Done(10*ms, Outcome{Request: "r", Result: NoConnect, Latency: 10 * ms, Spent: c.spent})
+		if !c.spent {
+			token, wait := f.wait(t)
+			b.Wake(10*ms+wait, token)
+		}
+		if len(f.sends) != c.sends || c.spent && (len(f.answers["r"]) != 1 || !f.answers["r"][0].refused) {
+			t.Errorf("spent %t: %d sends, answers %v", c.spent, len(f.sends), f.answers["r"])
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -166,6 +166,7 @@
 	attempts []attempt
 	out      int
 	ended    bool
+	spent    bool   // a part of it has passed through, and is gone
 	token    uint64 // of the backoff under way
 }
 
@@ -507,7 +508,7 @@
 	q.out--
 	a.to.inFlight--
 	b.learnFrom(now, q, a, o)
-	q.ended = q.ended || o.Final
+	q.ended, q.spent = q.ended || o.Final, q.spent || o.Spent
 	if !q.ended && q.out == 0 {
 		b.again(now, q, a)
 	}
@@ -582,7 +583,7 @@
 func (b *Balancer) repeatable(now Time, q *request) bool {
 	const memoryShare = 0.9 // the send must reach the backend while it remembers
 	c, ran := &b.classes[q.Class], q.mayHaveRun()
-	return q.out == 0 && (ran == nil || c.Repeat == Safe || // one attempt at a time
+	return q.out == 0 && !q.spent && (ran == nil || c.Repeat == Safe || // one attempt at a time
 		c.Repeat == Keyed && float64(now-ran.sent) < memoryShare*float64(c.Memory))
 }
 
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -16,8 +16,8 @@
 // longest can be asked to close. Each has a limit: from its accept to a whole
 // request, and from its last answer to the next one.
 type clients struct {
-	partLimit time.Duration // for a request that has begun to come
-	newLimit  time.Duration // from the accept to a whole request
+	partLimit time.Duration // for the head of a request that has begun to come
+	newLimit  time.Duration // from the accept to a whole head
 	idleLimit time.Duration // from an answer to the next request's first byte
 
 	mu      sync.Mutex
@@ -35,6 +35,8 @@
 	place  *list.Element // in fresh or waiting
 	begun  bool          // a part of a request is here
 	nudged bool
+
+	bodyFrom time.Time // when its body began to come; zero: not yet
 }
 
 const (
@@ -47,15 +49,23 @@
 	freshLeast = 20 * time.Millisecond
 	idleLeast  = time.Second
 
-	newLimit  = 2 * time.Second
+	// Clients may take two seconds for a head; a new one that sends nothing of use must
+	// be gone before three.
+	newLimit  = 2500 * time.Millisecond
+	partLimit = 2250 * time.Millisecond
 	idleLimit = 3 * time.Second
+
+	// A body may come at 64 kB a second. bodySlowest, in bytes a second, leaves room to
+	// come late; bodyStart is what it has ahead of that, and bodyStall how long it may
+	// stand still, however much came at once before.
+	bodySlowest = 48 << 10
+	bodyStart   = 1500 * time.Millisecond
+	bodyStall   = 2 * time.Second
 )
 
-// newClients returns clients whose requests may take as long to come as the longest
-// deadline, but no longer than a new connection has.
-func newClients(longest time.Duration) *clients {
+func newClients() *clients {
 	return &clients{
-		partLimit: min(longest, newLimit),
+		partLimit: partLimit,
 		newLimit:  newLimit,
 		idleLimit: idleLimit,
 		fresh:     list.New(),
@@ -92,23 +102,23 @@
 // next waits for the next request on c and reads it. An error before its first
 // byte is io.EOF: the connection has ended, or was asked to while idle, or has said
 // nothing for too long.
-func (s *clients) next(c *client) (*http.Request, []byte, error) {
+func (s *clients) next(c *client) (*http.Request, []byte, *http1.Rest, error) {
 	s.wait(c)
 	defer s.done(c)
 	if err := c.conn.Await(); err != nil {
 		// A request that crossed the limit or the nudge is still served.
 		if !http1.TimedOut(err) || c.conn.Quiet() {
-			return nil, nil, io.EOF
+			return nil, nil, nil, io.EOF
 		}
 	}
 	s.begin(c)
-	req, body, err := c.conn.ReadRequest()
-	if err == nil && c.conn.More() {
+	req, body, rest, err := c.conn.ReadRequest()
+	if err == nil && rest == nil && c.conn.More() {
 		// Callers wait for an answer before they send on. What follows on a request
 		// is a length that was wrong, or a flood.
 		err = errAhead
 	}
-	return req, body, err
+	return req, body, rest, err
 }
 
 func (s *clients) wait(c *client) {
@@ -136,12 +146,32 @@
 func (s *clients) begin(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.begun, c.nudged = true, false
+	c.begun, c.nudged, c.bodyFrom = true, false, time.Time{}
 	limit := time.Now().Add(s.partLimit)
 	if end := c.since.Add(s.newLimit); !c.asked && end.Before(limit) {
 		limit = end
 	}
 	c.conn.SetReadDeadline(limit)
+	c.conn.Pace = func(body int64) { s.pace(c, body) }
+}
+
+// pace sets the time for the next read of a body, by what has come of it. A client
+// that has been nudged keeps the time that it got.
+func (s *clients) pace(c *client, body int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.nudged {
+		return
+	}
+	now := time.Now()
+	if c.bodyFrom.IsZero() {
+		c.bodyFrom = now
+	}
+	limit := c.bodyFrom.Add(bodyStart + time.Duration(body)*time.Second/bodySlowest)
+	if stall := now.Add(bodyStall); stall.Before(limit) {
+		limit = stall
+	}
+	c.conn.SetReadDeadline(limit)
 }
 
 func (s *clients) done(c *client) {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -203,10 +203,12 @@
 	return nil
 }
 
+// heapShare is the heap's part of the memory; the rest is stacks, sockets and files.
+const heapShare = 0.6
+
 // Tune sets the process up for the limits, of which it has a part where several
 // processes share them. It is for programs that are a proxy and nothing else.
 func (l Limits) Tune(processes int) {
-	const heapShare = 0.6 // of the memory; the rest is stacks, sockets and files
 	debug.SetMemoryLimit(int64(heapShare * l.MemoryMB / float64(processes) * (1 << 20)))
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), int(math.Ceil(l.Cores))))
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -75,7 +75,8 @@
 	attempt  int
 	to       *upstream.Backend
 	sent     time.Time
-	ctx      context.Context // over at the attempt's time-out, or once it is given up
+	timeout  time.Duration
+	ctx      context.Context // over once the attempt is given up
 	cancel   func()
 	comeBack time.Duration
 }
@@ -123,8 +124,9 @@
 	return r
 }
 
-// done reports the end of an attempt. Unless it is final, a step follows.
-func (d *driver) done(r *call, s step, result logic.Result, final bool) {
+// done reports the end of an attempt, and whether the request is spent. Unless it is
+// final, a step follows.
+func (d *driver) done(r *call, s step, result logic.Result, final, spent bool) {
 	d.do(func(now logic.Time) {
 		d.current = r
 		defer func() { d.current = nil }()
@@ -134,6 +136,7 @@
 			Result:  result,
 			Latency: now - d.clock.at(s.sent),
 			Final:   final,
+			Spent:   spent,
 		})
 	})
 }
@@ -275,7 +278,8 @@
 func (d *driver) Send(request, backend string, timeout time.Duration) {
 	r := d.calls[request]
 	s := step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now()}
-	s.ctx, s.cancel = context.WithDeadline(context.Background(), s.sent.Add(timeout))
+	s.timeout = timeout
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	r.cancel = s.cancel
 	r.steps <- s
 	r.sends++
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -77,6 +77,7 @@
 			return
 		case <-tick.C:
 		}
+		p.neverBlocks()
 		p.share(p.state.processes())
 		p.followBans()
 	}
@@ -100,11 +101,14 @@
 func (p *Proxy) share(processes int) {
 	p.reloads.Lock()
 	defer p.reloads.Unlock()
-	if processes != p.processes {
-		p.processes = processes
+	if processes == p.processes {
+		return
+	}
+	if max(processes, p.processes) > 1 {
 		log.Printf("event=processes count=%d", processes)
-		p.applyLimits()
 	}
+	p.processes = processes
+	p.applyLimits()
 }
 
 // applyLimits makes the limits in force those of the configuration, by the number of
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -53,24 +53,27 @@
 	acceptBackoff = 5 * time.Millisecond
 	restEach      = 5 * time.Millisecond
 	restMost      = 100 * time.Millisecond
+	// transferShare is the part of the heap that long messages under way may hold.
+	transferShare = 0.25
 )
 
 // Proxy is one balancer on sockets.
 type Proxy struct {
-	cfg      *Config // of the start
-	phase    atomic.Int32
-	classes  map[string]int
-	longest  time.Duration // deadline
-	shortest time.Duration
-	end      atomic.Int64 // of a drain, in Unix nanoseconds: no answer comes after it
-	sockets  *sockets
-	clients  *clients
-	driver   *driver
-	list     *discovery.Client
-	stats    *stats
-	listener *net.TCPListener
-	door     *admin.Door // nil: none
-	tasks    sync.WaitGroup
+	cfg       *Config // of the start
+	phase     atomic.Int32
+	classes   map[string]int
+	longest   time.Duration // deadline
+	shortest  time.Duration
+	end       atomic.Int64 // of a drain, in Unix nanoseconds: no answer comes after it
+	sockets   *sockets
+	clients   *clients
+	transfers *http1.Transfers
+	driver    *driver
+	list      *discovery.Client
+	stats     *stats
+	listener  *net.TCPListener
+	door      *admin.Door // nil: none
+	tasks     sync.WaitGroup
 
 	hands sync.Mutex // held while a ban is changed, in state and module
 	state *state
@@ -103,7 +106,8 @@
 			p.shortest = c.Deadline
 		}
 	}
-	p.clients = newClients(p.longest) // what takes longer to come can't be answered in time
+	p.clients = newClients()
+	p.transfers = http1.NewTransfers(int64(transferShare * heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	opt := &upstream.Options{
 		DialTimeout: settings.Duration(cfg.Settings.Limits.DialTimeout),
 		IdleLimit:   settings.Duration(cfg.Settings.Limits.ConnIdle),
@@ -172,11 +176,6 @@
 // Listen takes the proxy's place: the addresses, and what it shares with a process that
 // it replaces. Run does it where it has not been done.
 func (p *Proxy) Listen() (err error) {
-	if p.state, err = openState(p.cfg.StateDir, p.cfg.Listen); err != nil {
-		log.Printf("event=state_failed err=%q", err) // it serves, but knows of no other
-	}
-	p.share(p.state.processes())
-	p.followBans()
 	if p.cfg.ListenFD != 0 {
 		p.listener, err = inherited(p.cfg.ListenFD)
 	} else {
@@ -186,9 +185,13 @@
 		}
 	}
 	if err != nil {
-		p.state.close()
 		return fmt.Errorf("listen: %w", err)
 	}
+	if p.state, err = openState(p.cfg.StateDir, p.cfg.Listen); err != nil {
+		log.Printf("event=state_failed err=%q", err) // it serves, but knows of no other
+	}
+	p.share(p.state.processes())
+	p.followBans()
 	if p.cfg.Admin != "" { // before serving, so that it can say no
 		if p.door, err = admin.Open(p.cfg.Admin, operated{p}); err != nil {
 			p.listener.Close()
@@ -243,18 +246,18 @@
 		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known())
 	p.enter(Serving)
 	accepted := make(chan error, 1)
-	p.tasks.Go(func() { accepted <- p.accept() })
+	go func() { accepted <- p.accept() }()
 	var err error
 	select {
 	case err = <-accepted:
 		p.end.Store(time.Now().Add(p.longest).UnixNano())
 		err = fmt.Errorf("accept: %w", err)
+		p.listener.Close()
 	case <-ctx.Done():
 		p.drain(accepted)
 	}
 
 	p.enter(Finishing)
-	p.listener.Close()
 	select {
 	case <-p.clients.close():
 	case <-time.After(p.left() + finishSlack):
@@ -285,13 +288,19 @@
 	p.enter(Draining)
 	if p.cfg.ListenFD != 0 { // another process accepts, and what waits in the kernel is its
 		p.listener.SetDeadline(time.Unix(1, 0))
-		<-accepted
+		select {
+		case <-accepted:
+			p.listener.Close()
+		case <-time.After(restMost):
+			// Caught in the kernel (neverBlocks says how); the end of the process ends it.
+			log.Printf("event=accept_caught")
+		}
 	} else {
 		p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
 		<-accepted
 		p.acceptRest()
+		p.listener.Close()
 	}
-	p.listener.Close()
 	for p.clients.count() > 0 && time.Now().Before(end.Add(-p.shortest/hardlyFits)) {
 		time.Sleep(drainedEvery)
 	}
@@ -306,6 +315,19 @@
 	return p.longest
 }
 
+// neverBlocks makes sure that an inherited listener does not block: the flag is shared
+// by all processes that hold the socket, and starting another one may clear it. An
+// accept that lost its connection to another process would then be caught in the
+// kernel, past any deadline.
+func (p *Proxy) neverBlocks() {
+	if p.cfg.ListenFD == 0 {
+		return
+	}
+	if raw, err := p.listener.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
+	}
+}
+
 // accept takes connections until the listener's deadline or its end.
 func (p *Proxy) accept() error {
 	for {
@@ -324,6 +346,7 @@
 
 func (p *Proxy) acceptOne() error {
 	p.sockets.wait()
+	p.neverBlocks()
 	nc, err := p.listener.Accept()
 	if err != nil {
 		p.sockets.Give()
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -38,15 +38,18 @@
 // returns whether the connection can carry another.
 func (p *Proxy) exchange(c *client) bool {
 	// Read.
-	req, body, err := p.clients.next(c)
+	req, body, rest, err := p.clients.next(c)
 	if err != nil {
 		p.turnAway(c, unreadable(err), err)
 		return false
 	}
-	if req.Method == http.MethodGet && req.URL.Path == pathReady {
+	if rest != nil {
+		defer rest.Drop()
+	}
+	if req.Method == http.MethodGet && req.URL.Path == pathReady && rest == nil {
 		return p.ready(c, req)
 	}
-	in, code, err := p.parse(req, body)
+	in, code, err := p.parse(req, len(body) > 0 || rest != nil)
 	if err != nil {
 		p.turnAway(c, code, err)
 		return false
@@ -64,39 +67,64 @@
 	defer p.driver.forget(call)
 	defer c.conn.Unwatch()
 	ends := &p.stats.ends[in.class]
+	watch := func() {
+		c.conn.Watch(func() { p.driver.gone(call) }, func() { p.driver.ahead(call) })
+	}
+	stays := func(open bool) bool { // what still comes of a request that has its answer is read
+		return open && (rest == nil || rest.Discard(p.transfers) == nil)
+	}
 
 	// Step, attempt, outcome, until there is an answer.
 	for {
 		step := <-call.steps
 		switch step.kind {
 		case stepSend:
-			c.conn.Watch(func() { p.driver.gone(call) }, func() { p.driver.ahead(call) })
-			got := step.to.Exchange(step.ctx, func(left time.Duration) []byte {
-				return forward(req, step.to.Addr, body, left)
-			})
+			out := &upstream.Request{Timeout: step.timeout, Rest: rest, Transfers: p.transfers}
+			out.Text = func(left time.Duration) []byte { return forward(req, step.to.Addr, body, rest, left) }
+			if rest == nil {
+				watch()
+			} else {
+				out.Written = func() {
+					step.sent = time.Now()
+					c.conn.SetReadDeadline(time.Time{}) // of the rest
+					watch()
+				}
+			}
+			got := step.to.Exchange(step.ctx, out)
 			result, final := outcome(&got)
 			if got.Err != nil && errors.Is(step.ctx.Err(), context.Canceled) {
 				result = logic.Cancelled
 			}
 			step.cancel()
-			p.driver.done(call, step, result, final)
+			p.driver.done(call, step, result, final, rest != nil && rest.Begun())
 			p.stats.attempt(result)
 			switch {
+			case errors.Is(got.Source, http1.ErrBusy):
+				ends[throttled].Add(1)
+				p.answer(c, req, http.StatusServiceUnavailable, comeBack(p.cfg.logic.MaxComeBack), "busy")
+				return false
+			case got.Source != nil:
+				p.turnAway(c, unreadable(got.Source), got.Source)
+				return false
 			case call.ahead.Load():
+				got.Release(false)
 			case result == logic.OK:
 				p.stats.served(time.Since(start))
 				ends[fulfilled].Add(1)
-				return p.pass(c, req, &got)
+				return stays(p.pass(c, req, &got))
 			case final:
+				got.Release(false)
 				ends[faulted].Add(1)
-				return p.answer(c, req, got.Status, nil, "rejected")
+				return stays(p.answer(c, req, got.Status, nil, "rejected"))
+			default:
+				got.Release(false)
 			}
 		case stepRefuse:
 			ends[throttled].Add(1)
-			return p.answer(c, req, http.StatusServiceUnavailable, comeBack(step.comeBack), "refused")
+			return stays(p.answer(c, req, http.StatusServiceUnavailable, comeBack(step.comeBack), "refused"))
 		case stepFail:
 			ends[faulted].Add(1)
-			return p.answer(c, req, http.StatusBadGateway, nil, "failed")
+			return stays(p.answer(c, req, http.StatusBadGateway, nil, "failed"))
 		case stepAhead:
 			p.turnAway(c, http.StatusBadRequest, errAhead)
 			return false
@@ -123,12 +151,12 @@
 
 // parse takes from a request what the module needs; an error comes with the 4xx
 // that answers it.
-func (p *Proxy) parse(req *http.Request, body []byte) (in incoming, code int, err error) {
+func (p *Proxy) parse(req *http.Request, body bool) (in incoming, code int, err error) {
 	code = http.StatusBadRequest
 	switch req.Method {
 	case http.MethodPost:
 	case http.MethodGet:
-		if len(body) > 0 { // a backend might take it for the next request
+		if body { // a backend might take it for the next request
 			return in, code, errors.New("a body where none belongs")
 		}
 	default:
@@ -195,6 +223,9 @@
 // outcome names what an exchange came to in the module's terms, and tells whether
 // the request is over with it.
 func outcome(a *upstream.Answer) (r logic.Result, final bool) {
+	if a.Source != nil { // never whole at the backend, and no fault of its own
+		return logic.NeverSent, true
+	}
 	switch a.Stage {
 	case upstream.Unsent:
 		return logic.NeverSent, false
@@ -230,8 +261,9 @@
 	return status >= 400 && status < 500
 }
 
-// forward is the text of req for a backend that has left to answer it.
-func forward(req *http.Request, host string, body []byte, left time.Duration) []byte {
+// forward is the text of req for a backend that has left to answer it: with all of its
+// body, or the first part of it where there is a rest.
+func forward(req *http.Request, host string, body []byte, rest *http1.Rest, left time.Duration) []byte {
 	b := make([]byte, 0, 512+len(body))
 	b = append(b, req.Method...)
 	b = append(b, ' ')
@@ -258,9 +290,17 @@
 	}
 	b = append(b, "\r\n"+headerTimeout+": "...)
 	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
-	if len(body) > 0 || req.Method != http.MethodGet {
+	size := int64(len(body))
+	if rest != nil {
+		size = rest.Size
+	}
+	switch {
+	case size < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+		body = http1.Chunk(body)
+	case size > 0 || req.Method != http.MethodGet:
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = strconv.AppendInt(b, size, 10)
 	}
 	b = append(b, "\r\n\r\n"...)
 	return append(b, body...)
@@ -295,9 +335,46 @@
 			header = append(header, name, v)
 		}
 	}
-	return p.write(c, got.Status, header, got.Body, req.Close)
+	if got.Rest == nil {
+		return p.write(c, got.Status, header, got.Body, req.Close)
+	}
+	err := p.passLong(c, req, got, header)
+	got.Release(err == nil)
+	if err != nil { // the client must be able to tell: no end, and no clean close
+		p.stats.cutShort.Add(1)
+		if t, ok := c.conn.Conn.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		return false
+	}
+	return req.ProtoAtLeast(1, 1) && !req.Close && p.stays()
+}
+
+// passLong writes an answer with a rest, as it comes. A client that reads HTTP/1.0 gets
+// one of unknown size until the connection's end.
+func (p *Proxy) passLong(c *client, req *http.Request, got *upstream.Answer, header []string) error {
+	old, first := !req.ProtoAtLeast(1, 1), got.Body
+	switch {
+	case got.Rest.Size >= 0:
+		header = append(header, "Content-Length", strconv.FormatInt(got.Rest.Size, 10))
+	case !old:
+		header = append(header, "Transfer-Encoding", "chunked")
+		first = http1.Chunk(first)
+	}
+	within := upstream.Progress(c.conn.SetWriteDeadline)
+	within(0)
+	if _, err := c.conn.Write(answerText(got.Status, header, first, old || req.Close || !p.stays())); err != nil {
+		return err
+	}
+	return p.transfers.Pass(c.conn, got.Rest, old, func(passed int64) error {
+		within(passed)
+		return nil
+	})
 }
 
+// stays tells whether connections of clients are kept after an answer.
+func (p *Proxy) stays() bool { return p.Phase() <= Draining && !p.sockets.Full() }
+
 // answer answers a request ourselves.
 func (p *Proxy) answer(c *client, req *http.Request, status int, header []string, text string) bool {
 	header = append(header, "Content-Type", "text/plain")
@@ -314,14 +391,23 @@
 
 // write writes an answer and returns whether the connection stays.
 func (p *Proxy) write(c *client, status int, header []string, body []byte, last bool) bool {
-	last = last || p.Phase() > Draining || p.sockets.Full()
+	last = last || !p.stays()
+	header = append(header, "Content-Length", strconv.Itoa(len(body)))
+	c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	if _, err := c.conn.Write(answerText(status, header, body, last)); err != nil {
+		p.stats.unwritten.Add(1)
+		return false
+	}
+	return !last
+}
+
+// answerText is an answer's head, and what is here of its body.
+func answerText(status int, header []string, body []byte, last bool) []byte {
 	b := make([]byte, 0, 256+len(body))
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
 	b = append(b, http.StatusText(status)...)
-	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(body)), 10)
 	for i := 0; i < len(header); i += 2 {
 		b = append(b, "\r\n"...)
 		b = append(b, header[i]...)
@@ -332,13 +418,7 @@
 		b = append(b, "\r\nConnection: close"...)
 	}
 	b = append(b, "\r\n\r\n"...)
-	b = append(b, body...)
-	c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
-	if _, err := c.conn.Write(b); err != nil {
-		p.stats.unwritten.Add(1)
-		return false
-	}
-	return !last
+	return append(b, body...)
 }
 
 // unreadable is the status that answers what could not be read as a request; 0
