Answers until their connection's end are good; long requests load a backend once whole

A reset is not an end, and one with nothing in it was cut off. Second: uploads of seconds counted as calls in flight and filled the limit; their attempt now counts from its Written on.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -276,8 +276,8 @@
 const partWait = 100 * time.Millisecond
 
 // ReadResponse reads the final answer to a request and its body, the first part of a
-// long one, before deadline. An answer must say where it ends: one that lasts as long
-// as its connection can't be told from one that was cut off.
+// long one, before deadline. One that says no length lasts as long as its connection: a
+// clean end is its end, a reset is not; with nothing in it, it was cut off.
 func (c *Conn) ReadResponse(deadline time.Time) (resp *http.Response, body []byte, rest *Rest, err error) {
 	for range mostInterim {
 		body, rest, err = c.parse(false, func(br *bufio.Reader) (part, error) {
@@ -289,13 +289,15 @@
 				return part{}, errors.New("switches to another protocol")
 			case code < 200 || code == http.StatusNoContent || code == http.StatusNotModified:
 				return part{whole: true}, nil
-			case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-				return part{}, errors.New("no length")
 			}
 			if resp.StatusCode != http.StatusOK { // not worth passing on in parts
 				deadline = time.Time{}
 			}
-			return c.readBody(br, resp.Body, resp.ContentLength, deadline)
+			p, err := c.readBody(br, resp.Body, resp.ContentLength, deadline)
+			if err == nil && len(p.body) == 0 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+				return part{}, errors.New("neither length nor body")
+			}
+			return p, err
 		})
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, body, rest, err
@@ -338,7 +340,8 @@
 			if TimedOut(err) && !time.Now().Before(until) && len(body) > 0 {
 				return part{body: body, from: r, size: -1}, nil
 			}
-			if err != nil && !TimedOut(err) {
+			// A reset is told once, and then looks like an end.
+			if err != nil && !TimedOut(err) && !errors.Is(err, io.EOF) {
 				c.err = err
 				return part{}, err
 			}
--- a/logic/api.go
+++ b/logic/api.go
@@ -89,6 +89,7 @@
 	Class  int           // index into Settings.Classes
 	Budget time.Duration // time until its caller gives up
 	Retry  bool          // the client asks again, where clients tell
+	Long   bool          // it is sent on as it comes: an attempt begins at its Written
 }
 
 // Result is how an attempt ended.
--- a/logic/ban_test.go
+++ b/logic/ban_test.go
@@ -210,3 +210,39 @@
 		}
 	}
 }
+
+// A long request counts as a call in flight only once it is wholly at its backend:
+// guards against slow uploads that fill the limit. It counts once, and for nothing after.
+func TestLongOnItsWay(t *testing.T) {
+	b, _ := start(testSettings(), zoneLines("b", 2)...)
+	inFlight := func() (n int) {
+		for _, m := range b.listed {
+			n += m.inFlight
+		}
+		return n
+	}
+	for i := range 200 {
+		b.Arrive(0, Request{ID: fmt.Sprint("long ", i), Class: unsafe, Budget: 2000 * ms, Long: true})
+	}
+	if n := inFlight(); n != 0 {
+		t.Errorf("%d in flight", n)
+	}
+	b.Arrive(ms, Request{ID: "r", Class: unsafe, Budget: 2000 * ms})
+	if n := inFlight(); n != 1 {
+		t.Errorf("an ordinary one beside them: %d in flight", n)
+	}
+	b.Written(time.Second, "long 0")
+	b.Written(time.Second, "long 0")
+	b.Written(time.Second, "nobody")
+	if n := inFlight(); n != 2 {
+		t.Errorf("one written whole: %d in flight", n)
+	}
+	for i := range 200 {
+		id := fmt.Sprint("long ", i)
+		b.Done(2*time.Second, Outcome{Request: id, Result: OK, Latency: 50 * ms, Final: true, Spent: true})
+	}
+	b.Done(2*time.Second, Outcome{Request: "r", Result: OK, Latency: 50 * ms, Final: true})
+	if n := inFlight(); n != 0 || len(b.requests) != 0 {
+		t.Errorf("after all: %d in flight, %d requests", n, len(b.requests))
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -156,7 +156,6 @@
 	paused   Time    // full lately: until then
 	used     Time    // last answer
 	gone     bool    // no longer listed
-	banned   bool    // out by hand
 	back     Time    // in again by hand, as a cold one: it was restarted meanwhile
 }
 
@@ -177,6 +176,7 @@
 	notRun bool // proven
 	trial  bool
 	rested bool // on a connection that had been idle
+	load   int  // calls in flight that it counts for: none while its request is still on its way
 }
 
 // New returns a balancer that acts through act.
@@ -190,12 +190,10 @@
 		wakes:    map[uint64]*request{},
 		lastCall: now, arrived: now,
 	}
-	longest := time.Duration(0)
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, class{Class: c})
-		longest = max(longest, c.Deadline)
+		b.patience = max(b.patience, time.Duration(ejectPatience*float64(c.Deadline)))
 	}
-	b.patience = time.Duration(ejectPatience * float64(longest))
 	b.askWait = time.Duration(askShare * float64(set.AskWithin))
 	b.gap = float64(b.patience)
 	if set.AskForList {
@@ -303,17 +301,16 @@
 // try sends the next attempt if its full allowance fits, and else answers.
 func (b *Balancer) try(now Time, q *request) {
 	allowance := time.Duration(b.classes[q.Class].allowance)
-	if len(q.attempts) >= b.set.MaxAttempts || allowance > q.available(now) {
-		b.giveUp(q)
-		return
+	var to *backend
+	if len(q.attempts) < b.set.MaxAttempts && allowance <= q.available(now) {
+		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
+		to = b.pick(now, q)
 	}
-	b.gap += meanWeight * (float64(now-b.lastCall) - b.gap)
-	b.lastCall = now
-	if to := b.pick(now, q); to != nil {
-		b.send(now, q, to, b.timeout(now, q, allowance))
-	} else {
+	if to == nil {
 		b.giveUp(q)
+		return
 	}
+	b.send(now, q, to, b.timeout(now, q, allowance))
 }
 
 // timeout is the full allowance; where no attempt could follow one that timed
@@ -333,13 +330,14 @@
 	to.trialOut = to.trialOut || trial
 	rested := b.set.Uneven && to.inFlight == 0 && to.used > 0 &&
 		float64(now-to.used) > restedShare*float64(b.patience)
-	stale := b.broken > staleShare || rested && b.lost > lostShare
-	if stale {
+	old := b.broken > staleShare || rested && b.lost > lostShare
+	if old {
 		b.act.CloseIdle(to.ID)
 	}
-	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial, rested: rested && !stale})
+	n := map[bool]int{false: 1}[q.Long] // guards against slow uploads that fill the limit
+	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial, rested: rested && !old, load: n})
 	q.out++
-	to.inFlight++
+	to.inFlight += n
 	b.act.Send(q.ID, to.ID, timeout)
 }
 
@@ -375,7 +373,7 @@
 
 // allowed holds the rules alone: drains, cold backends, repeats.
 func (b *Balancer) allowed(now Time, q *request, m *backend) bool {
-	return m.State == Up && !m.gone && !m.banned && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
+	return m.State == Up && !m.gone && !b.banned[m.ID] && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
 }
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first
@@ -443,8 +441,8 @@
 		due -= b.patience
 	}
 	for _, m := range b.listed {
-		due := len(q.attempts) == 0 && due >= m.trialAt && now >= m.paused
-		if m.ejected > 0 && !m.trialOut && due && b.allowed(now, q, m) {
+		first := len(q.attempts) == 0 && m.ejected > 0 && !m.trialOut
+		if first && due >= m.trialAt && now >= m.paused && b.allowed(now, q, m) {
 			return m
 		}
 	}
@@ -470,7 +468,7 @@
 
 func (b *Balancer) tally(now Time, members []*backend) (t tally) {
 	for _, m := range members {
-		if m.State == Up && m.ejected == 0 && !m.banned {
+		if m.State == Up && m.ejected == 0 && !b.banned[m.ID] {
 			warmth := m.warmth(now, &b.set)
 			t.count++
 			t.calls += float64(m.inFlight)
@@ -506,7 +504,7 @@
 	a.notRun = o.Result == Full || o.Result == NoConnect || o.Result == NeverSent
 	b.settle(now)
 	q.out--
-	a.to.inFlight--
+	a.to.inFlight -= a.load
 	b.learnFrom(now, q, a, o)
 	q.ended, q.spent = q.ended || o.Final, q.spent || o.Spent
 	if !q.ended && q.out == 0 {
@@ -515,6 +513,16 @@
 	b.forget(q)
 }
 
+// Written takes that a long request has wholly reached its backend, which begins with it only now.
+func (b *Balancer) Written(now Time, id string) {
+	if q := b.requests[id]; q != nil && q.out > 0 {
+		a := &q.attempts[len(q.attempts)-1]
+		b.settle(now)
+		a.to.inFlight += 1 - a.load
+		a.sent, a.load = now, 1
+	}
+}
+
 // again waits for the next attempt if wait and allowance fit, and else answers.
 func (b *Balancer) again(now Time, q *request, last *attempt) {
 	allowance := b.classes[q.Class].allowance
@@ -772,17 +780,14 @@
 }
 
 func (b *Balancer) update(now Time, l Backend) {
-	if l.Size <= 0 {
-		l.Size = 1
-	}
+	l.Size = cmp.Or(max(l.Size, 0), 1)
 	m := b.backends[l.ID]
 	if m == nil {
-		m = &backend{sent: now, spacing: b.rng.Float64(), slowness: 1, banned: b.banned[l.ID]}
+		m = &backend{sent: now, spacing: b.rng.Float64(), slowness: 1}
 		b.backends[l.ID] = m
 		b.listed = append(b.listed, m)
 	} else if max(l.Started, m.back) != max(m.Started, m.back) { // restarted: nothing learned holds
-		m.failures, m.ejected, m.slowness = 0, 0, 1
-		m.sent, m.spacing = now, b.rng.Float64()
+		m.failures, m.ejected, m.slowness, m.sent, m.spacing = 0, 0, 1, now, b.rng.Float64()
 	}
 	m.Backend = l
 	m.gone = l.State == Removed
@@ -791,18 +796,14 @@
 // Detach takes a backend out by hand, until Attach and whatever the list says meanwhile.
 func (b *Balancer) Detach(id string) {
 	b.banned[id] = true
-	if m := b.backends[id]; m != nil {
-		m.banned = true
-	}
 	b.act.CloseIdle(id)
 }
 
 // Attach ends that. The return is a cold start, whatever the list knows of it. A trial brings it back soon:
 // guards against the first of the spaced calls, which may be long in coming, and an ejection from before.
 func (b *Balancer) Attach(now Time, id string) {
-	if m := b.backends[id]; m != nil && m.banned {
-		m.banned, m.back = false, now
-		m.failures, m.slowness, m.paused, m.spacing = 0, 1, 0, 0
+	if m := b.backends[id]; m != nil && b.banned[id] {
+		m.back, m.failures, m.slowness, m.paused, m.spacing = now, 0, 1, 0, 0
 		m.ejected, m.trialAt = 1, now+b.jitter(b.patience)
 	}
 	delete(b.banned, id)
@@ -813,7 +814,8 @@
 
 // Avoided is how many listed backends get no calls now, by hand or by choice.
 func (b *Balancer) Avoided(now Time) int {
-	return len(filter(b.listed, func(m *backend) bool { return m.banned || m.ejected > 0 || now < m.paused }))
+	out := func(m *backend) bool { return b.banned[m.ID] || m.ejected > 0 || now < m.paused }
+	return len(filter(b.listed, out))
 }
 
 // regroup forgets the backends that are gone (attempts still out hold their own pointers) and orders the
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -109,7 +109,7 @@
 
 // arrive hands a request to the module; its first step is ready on return. It
 // returns nil for one whose id is open here already.
-func (d *driver) arrive(name string, class int, budget time.Duration, retry bool) (r *call) {
+func (d *driver) arrive(name string, class int, budget time.Duration, retry, long bool) (r *call) {
 	d.do(func(now logic.Time) {
 		if d.open[name] {
 			return
@@ -119,11 +119,16 @@
 		d.serial++
 		r = &call{id: strconv.FormatUint(d.serial, 36), name: name, steps: make(chan step, 2)}
 		d.calls[r.id] = r
-		d.balancer.Arrive(now, logic.Request{ID: r.id, Class: class, Budget: budget, Retry: retry})
+		d.balancer.Arrive(now, logic.Request{ID: r.id, Class: class, Budget: budget, Retry: retry, Long: long})
 	})
 	return r
 }
 
+// written reports that the attempt of a long request has been written whole.
+func (d *driver) written(r *call) {
+	d.do(func(now logic.Time) { d.balancer.Written(now, r.id) })
+}
+
 // done reports the end of an attempt, and whether the request is spent. Unless it is
 // final, a step follows.
 func (d *driver) done(r *call, s step, result logic.Result, final, spent bool) {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -57,7 +57,7 @@
 	start := time.Now()
 
 	// Arrive.
-	call := p.driver.arrive(in.id, in.class, in.budget, in.retry)
+	call := p.driver.arrive(in.id, in.class, in.budget, in.retry, rest != nil)
 	if call == nil {
 		p.turnAway(c, http.StatusConflict, errOpen)
 		return false
@@ -86,6 +86,7 @@
 			} else {
 				out.Written = func() {
 					step.sent = time.Now()
+					p.driver.written(call)
 					c.conn.SetReadDeadline(time.Time{}) // of the rest
 					watch()
 				}
