--- a/cmd/oxbowloft/operate_test.go
+++ b/cmd/oxbowloft/operate_test.go
@@ -597,3 +597,118 @@
 		t.Errorf("then %+v", got)
 	}
 }
+
+// All forms in which a message may come and an answer may end are served: to an
+// HTTP/1.0 client, to one that waits for leave to send, and from a backend whose answer
+// lasts as long as its connection.
+func TestForms(t *testing.T) {
+	long := strings.Repeat("0123456789", 20_000)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		switch c.RequestURI {
+		case "/api/end": // no length, ends with the connection
+			c.Raw("HTTP/1.1 200 OK\r\n\r\n" + long)
+			c.Close()
+		case "/api/end/short":
+			c.Raw("HTTP/1.0 200 OK\r\n\r\nshort")
+			c.Close()
+		case "/api/chunks":
+			c.Raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x;x=y\r\n%s\r\n0\r\nX-T: 1\r\n\r\n",
+				len(long), long))
+		default:
+			c.Reply(200, strconv.Itoa(len(c.Text)))
+		}
+	})
+	r := newPlatform(t, 256, targets(b)).start()
+	for uri, want := range map[string]string{"/api/end": long, "/api/end/short": "short", "/api/chunks": long} {
+		c := r.dial()
+		if got := c.ask(head("GET", uri, "get", 2000)); got.status != 200 || got.body != want {
+			t.Errorf("%s: %d with %d bytes", uri, got.status, len(got.body))
+		}
+		if got := c.ask(post("pay", "then", 2000)); got.status != 200 || got.body != "4" {
+			t.Errorf("after %s: %+v", uri, got)
+		}
+		old := r.dial()
+		old.send(strings.Replace(head("GET", uri, "get", 2000), "HTTP/1.1", "HTTP/1.0", 1))
+		text, err := io.ReadAll(old.r)
+		resp, body, _ := strings.Cut(string(text), "\r\n\r\n")
+		if err != nil || body != want || strings.Contains(resp, "chunked") {
+			t.Errorf("%s to HTTP/1.0: %d bytes behind %.80q, %v", uri, len(body), resp, err)
+		}
+	}
+	for _, size := range []int{10, 200_000} {
+		c := r.dial()
+		c.send(head("POST", "/api", "pay", 2000, "Expect: 100-continue", "Content-Length: "+strconv.Itoa(size)))
+		line, err := c.r.ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, "HTTP/1.1 100 ") {
+			t.Fatalf("leave to send: %q, %v", line, err)
+		}
+		c.r.ReadString('\n')
+		c.send(long[:size])
+		if got := c.read(); got.status != 200 || got.body != strconv.Itoa(size) {
+			t.Errorf("after leave to send %d: %+v", size, got)
+		}
+	}
+}
+
+// A client that leaves or spoils its long body half way costs its backend nothing and
+// nobody else anything; the request never runs.
+func TestLongBodyBrokenOff(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	r := newPlatform(t, 256, targets(b)).start()
+	calls := b.Calls()
+	gone := r.dial()
+	gone.send(head("POST", "/api", "pay", 2000, "Content-Length: 1000000") + strings.Repeat("x", 300_000))
+	gone.Close()
+	spoilt := r.dial()
+	spoilt.send(head("POST", "/api", "pay", 2000, "Transfer-Encoding: chunked") +
+		"30000\r\n" + strings.Repeat("x", 0x30000) + "\r\nzz\r\n")
+	if got := spoilt.read(); got.status != 400 {
+		t.Errorf("spoilt: %+v", got)
+	}
+	ahead := r.dial()
+	ahead.send(head("POST", "/api", "pay", 2000, "Content-Length: 200000") + strings.Repeat("x", 200_000) + "noise")
+	if got := ahead.read(); got.status != 400 {
+		t.Errorf("more than told: %+v", got)
+	}
+	if got := r.dial().ask(get(2000)); got.status != 200 {
+		t.Errorf("then %+v", got)
+	}
+	if n := b.Calls() - calls; n > 2 { // the one that was whole, and the last
+		t.Errorf("%d calls", n)
+	}
+	r.eventually("nothing open", func() bool { return r.figures()["open_requests"] == 0 })
+}
+
+// A slow reader of a long answer holds back nobody else, however many there are.
+func TestSlowReaders(t *testing.T) {
+	long := strings.Repeat("x", 8<<20)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		if c.RequestURI == "/api/long" {
+			c.Reply(200, long)
+		} else {
+			standin.Echo(c)
+		}
+	})
+	r := newPlatform(t, 256, targets(b)).start()
+	var readers []*conn
+	for range 20 {
+		c := r.dial()
+		c.send(head("GET", "/api/long", "get", 2000))
+		readers = append(readers, c)
+	}
+	c := r.dial()
+	for range 100 {
+		for {
+			got := c.ask(get(2000))
+			if got.status == 200 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	for _, c := range readers { // none was cut off meanwhile
+		if got := c.read(); got.status != 503 && got.body != long {
+			t.Errorf("%d with %d bytes", got.status, len(got.body))
+		}
+	}
+}
