--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -281,8 +281,7 @@
 // those that are open until so little is left before the end that hardly an attempt
 // fits: the module gets no more time than that, and refuses what does not. Guards
 // against callers with nobody to ask while several proxies start again one after the
-// other. An inherited listener is left to the process that replaces this one, and callers
-// are sent there at once: what is taken late might be long, and cut off at the end.
+// other. An inherited listener is left to the process that replaces this one.
 func (p *Proxy) drain(accepted <-chan error) {
 	end := time.Now().Add(p.cfg.Grace + p.longest)
 	p.end.Store(end.UnixNano())
@@ -296,12 +295,12 @@
 			// Caught in the kernel (neverBlocks says how); the end of the process ends it.
 			log.Printf("event=accept_caught")
 		}
-		return
+	} else {
+		p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
+		<-accepted
+		p.acceptRest()
+		p.listener.Close()
 	}
-	p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
-	<-accepted
-	p.acceptRest()
-	p.listener.Close()
 	for p.clients.count() > 0 && time.Now().Before(end.Add(-p.shortest/hardlyFits)) {
 		time.Sleep(drainedEvery)
 	}
