--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,7 @@
 	limitStep       = 0.3    // speed of the limit's correction
 	limitInUse      = 0.5    // share of the limit in flight from which it is corrected
 	limitLeast      = 0.7    // share of the first limit that it keeps: no queue comes of that
-	limitPerBackend = 7.0    // at the start, over all balancers: busy without a queue
+	limitPerBackend = 5.0    // at the start, over all balancers: busy without a queue
 	limitLowest     = 0.75   // the part of the limit for work worth next to nothing
 	openMost        = 4.0    // bases that the limit grows to: a quiet balancer's must not let any burst in
 	arriveWeight    = 0.02   // of one arrival in own traffic: bursts are not traffic
