An early answer to a long request is seen while its sender is slow

Cause, seen in the test of a long body that is turned away: it failed when the sender waited for the answer half way, since the backend was looked at only ahead of each write. It had passed by luck of timing. Ruled out: the module (no send, no step) and the pace (it ended the wait with 408). Change: the backend's connection is watched during the upload; what it says interrupts the wait for the sender, outside of the parser, so that the rest can still be read.

--- a/cmd/oxbowloft/operate_test.go
+++ b/cmd/oxbowloft/operate_test.go
@@ -538,6 +538,8 @@
 	r := newPlatform(t, 256, standin.List(1, true, standin.Target("s-0", ln.Addr().String()))).start()
 	c := r.dial()
 	body := strings.Repeat("x", 1<<20)
+	// It sends no more until it has the answer: guards against one that is seen only with
+	// the next part.
 	c.send(head("POST", "/api", "pay", 2000, "Content-Length: "+strconv.Itoa(len(body))) + body[:100_000])
 	got := c.read()
 	if got.status != 503 || got.header.Get("Retry-After") == "" {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,6 +35,7 @@
 	ErrMalformed    = errors.New("malformed message")
 	ErrHeadTooLarge = errors.New("head too large")
 	ErrBodyTooLarge = errors.New("body too large")
+	ErrInterrupted  = errors.New("interrupted")
 )
 
 // TimedOut tells whether err is that of a deadline.
@@ -58,6 +60,8 @@
 	// set the time that the read may take.
 	Pace func(body int64)
 	body int64 // below zero: none is under way
+
+	interrupted atomic.Bool
 }
 
 // NewConn returns a Conn on nc.
@@ -111,6 +115,9 @@
 	if c.Pace != nil && c.body >= 0 {
 		c.Pace(c.body)
 	}
+	if c.interrupted.Load() { // after Pace, which may have set another time
+		return ErrInterrupted
+	}
 	n, err := c.Conn.Read(c.buf[c.end:])
 	c.end += n
 	if n > 0 {
@@ -168,6 +175,7 @@
 	whole bool
 	from  io.Reader // the body
 	size  int64     // of the body; below zero where nobody says
+	over  bool      // all of it is in body, which is too long to be kept whole
 }
 
 // parse runs read over the message at the start of the buffer, then uses it up. Where
@@ -182,7 +190,7 @@
 	p, err := read(br)
 	if err == nil && !p.whole {
 		c.body = int64(len(p.body))
-		return p.body, &Rest{c: c, br: br, from: p.from, Size: p.size, came: c.body}, nil
+		return p.body, &Rest{c: c, br: br, from: p.from, Size: p.size, came: c.body, over: p.over}, nil
 	}
 	return p.body, nil, c.used(br, err)
 }
@@ -217,6 +225,7 @@
 	from  io.Reader
 	came  int64
 	begun bool
+	over  bool // nothing more comes
 	err   error
 }
 
@@ -229,6 +238,18 @@
 	if r.err != nil {
 		return 0, r.err
 	}
+	// The wait is outside of the parser, which could not go on after an interruption.
+	if c := r.c; !r.over && r.br.Buffered() == 0 && c.pos == c.end {
+		c.start = c.pos
+		switch err := c.fill(); {
+		case c.interrupted.Load() && (err == ErrInterrupted || TimedOut(err)):
+			return 0, ErrInterrupted
+		case err != nil && !errors.Is(err, io.EOF):
+			c.err = err
+			r.err, r.br = c.used(r.br, err), nil
+			return 0, r.err
+		}
+	}
 	r.begun = true
 	n, err := r.from.Read(p)
 	r.came += int64(n)
@@ -249,6 +270,19 @@
 	return n, r.err
 }
 
+// Interrupt ends the wait of a Read, now or the next one's, with ErrInterrupted, until
+// Resume. It may come from any goroutine.
+func (r *Rest) Interrupt() {
+	r.c.interrupted.Store(true)
+	r.c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Resume lets Read wait again.
+func (r *Rest) Resume() {
+	r.c.interrupted.Store(false)
+	r.c.SetReadDeadline(time.Time{})
+}
+
 // ReadRequest reads a request and its body, the first part of a long one. The error is
 // io.EOF where the connection ended between messages.
 func (c *Conn) ReadRequest() (req *http.Request, body []byte, rest *Rest, err error) {
@@ -356,7 +390,7 @@
 		case errors.Is(err, io.EOF) && len(body) <= MaxBody:
 			return part{body: body, whole: true}, nil
 		case errors.Is(err, io.EOF):
-			return part{body: body, from: r, size: -1}, nil // its end is read once more
+			return part{body: body, from: r, size: -1, over: true}, nil
 		case err != nil:
 			return part{}, err
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -211,14 +211,29 @@
 // passRest sends the rest of a long request on as it comes. An answer that comes
 // meanwhile ends it: the backend has said no.
 func passRest(c *http1.Conn, req *Request) error {
+	c.SetReadDeadline(time.Time{})
+	var answered atomic.Bool
+	said := func() {
+		answered.Store(true)
+		req.Rest.Interrupt() // the sender may be slow, or wait for the answer
+	}
+	c.Watch(said, said)
 	within := Progress(c.SetWriteDeadline)
-	return req.Transfers.Pass(c, req.Rest, false, func(passed int64) error {
-		if c.More() {
+	err := req.Transfers.Pass(c, req.Rest, false, func(passed int64) error {
+		if answered.Load() {
 			return errEarly
 		}
 		within(passed)
 		return nil
 	})
+	c.Unwatch()
+	if answered.Load() {
+		req.Rest.Resume()
+		if errors.Is(err, http1.ErrInterrupted) {
+			err = errEarly
+		}
+	}
+	return err
 }
 
 var errNoSlot = errors.New("no descriptor to spare")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -49,17 +49,11 @@
 
 // timed is an exchange of text whose time-out is what ctx leaves.
 func timed(ctx context.Context, text func(time.Duration) []byte) (context.Context, *Request) {
-	end, ok := ctx.Deadline()
-	if !ok {
-		end = time.Now().Add(time.Minute)
+	timeout := time.Minute
+	if end, ok := ctx.Deadline(); ok {
+		timeout = time.Until(end)
 	}
-	cancelled, cancel := context.WithCancel(context.Background())
-	context.AfterFunc(ctx, func() {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			cancel()
-		}
-	})
-	return cancelled, &Request{Text: text, Timeout: time.Until(end)}
+	return ctx, &Request{Text: text, Timeout: timeout}
 }
 
 func soon(t *testing.T) context.Context { return until(t, 10*time.Second) }
