--- a/logic/ban_test.go
+++ b/logic/ban_test.go
@@ -246,3 +246,15 @@
 		t.Errorf("after all: %d in flight, %d requests", n, len(b.requests))
 	}
 }
+
+// Guards against a limit that goes on counting backends that are out by hand: their part
+// of the calls would crowd the rest.
+func TestDetachedShrinksLimit(t *testing.T) {
+	b, _ := start(testSettings(), zoneLines("b", 4)...)
+	before := b.tally(0, b.listed)
+	b.Detach("b0")
+	b.Detach("b1")
+	if got := b.tally(0, b.listed); got.count != before.count-2 || got.warm != before.warm-2 {
+		t.Errorf("%+v with all, %+v with two out", before, got)
+	}
+}
