--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,6 @@
 
 	busyFactor = 1.25 // "well above the mean" in a group: even load against even turns
 	slowWeight = 2.0  // how much more calls count on slow backends: spares choked ones
-	slowSure   = 0.5  // what of that is chance, where it sends calls to another group
 	paceLeast  = 0.3  // of the mean latency: faster ones get no more turns for it
 
 	spillFactor = 1.5 // "well over another group's": idle zones used against crossings
@@ -349,7 +348,7 @@
 		return t
 	}
 	failing := func(g *group) float64 { return 1 - b.tally(now, g.members).count/float64(len(g.members)) }
-	load := func(g *group) float64 { t := b.tally(now, g.members); return t.busy / max(t.size, 1e-9) }
+	load := func(g *group) float64 { return b.tally(now, g.members).load(0) }
 	open := filter(b.groups, func(g *group) bool {
 		return slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) })
 	})
@@ -463,16 +462,17 @@
 	return slices.DeleteFunc(slices.Clone(all), func(x T) bool { return !keep(x) })
 }
 
-// A tally sums up backends in use. The limit is for each unit of warm size: it shrinks with a fleet at once.
-// Busy are the calls with one more on each, those on slow backends counting for more.
-type tally struct{ count, calls, busy, size, warm, reach float64 }
+// A tally sums up backends in use. The limit is for each unit of warm size, so that it
+// shrinks at once with a fleet that loses backends or starts them cold.
+type tally struct{ count, calls, size, warm, reach float64 }
 
 func (b *Balancer) tally(now Time, members []*backend) (t tally) {
 	for _, m := range members {
 		if m.State == Up && m.ejected == 0 && !b.banned[m.ID] {
 			warmth := m.warmth(now, &b.set)
-			t.count, t.calls, t.size = t.count+1, t.calls+float64(m.inFlight), t.size+m.Size
-			t.busy += float64(m.inFlight+1)*(1+slowWeight*max(0, b.excess(now, m)-slowSure)) - 1
+			t.count++
+			t.calls += float64(m.inFlight)
+			t.size += m.Size
 			t.warm += m.Size * warmth
 			t.reach += m.part * warmth
 		}
@@ -665,7 +665,7 @@
 			latency = min(latency, lostFactor*c.cost) // and of whom all would go to the few that lose none
 		}
 		b.hold += meanWeight * (latency - b.hold)
-		a.to.slowness += failureWeight * (latency/max(c.cost, 1) - a.to.slowness)
+		a.to.slowness += failureWeight * (latency/c.cost - a.to.slowness)
 		a.to.heard = now
 		b.correctLimit(now, c, latency/float64(max(c.Aim, 1)))
 	}
