--- a/cmd/oxbowloft/operate_test.go
+++ b/cmd/oxbowloft/operate_test.go
@@ -503,6 +503,10 @@
 			t.Errorf("%s: the rest: %v", uri, err)
 		}
 	}
+	r.eventually("one whole, two cut short", func() bool {
+		f := r.figures()
+		return f[`fulfilled{priority="get"}`] == 1 && f[`faulted{priority="get"}`] == 2
+	})
 }
 
 // What a backend says before the end of a long body is the answer, an unsafe request is
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"oxbowloft/internal/http1"
@@ -111,8 +112,7 @@
 				got.Release(false)
 			case result == logic.OK:
 				p.stats.served(time.Since(start))
-				ends[fulfilled].Add(1)
-				return stays(p.pass(c, req, &got))
+				return stays(p.pass(c, req, &got, ends))
 			case final:
 				got.Release(false)
 				ends[faulted].Add(1)
@@ -328,8 +328,9 @@
 	return []string{"Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64)}
 }
 
-// pass hands on a backend's answer.
-func (p *Proxy) pass(c *client, req *http.Request, got *upstream.Answer) bool {
+// pass hands on a backend's answer, and counts how the request ended: with one that is
+// here whole at once, so that who has read it finds it counted; else with its last byte.
+func (p *Proxy) pass(c *client, req *http.Request, got *upstream.Answer, ends *[endings]atomic.Int64) bool {
 	var header []string
 	for _, name := range []string{"Content-Type", "Content-Encoding"} {
 		if v := got.Header.Get(name); v != "" {
@@ -337,10 +338,16 @@
 		}
 	}
 	if got.Rest == nil {
+		ends[fulfilled].Add(1)
 		return p.write(c, got.Status, header, got.Body, req.Close)
 	}
 	err := p.passLong(c, req, got, header)
 	got.Release(err == nil)
+	if err == nil || errors.Is(err, http1.ErrPassed) {
+		ends[fulfilled].Add(1)
+	} else {
+		ends[faulted].Add(1)
+	}
 	if err != nil { // the client must be able to tell: no end, and no clean close
 		p.stats.cutShort.Add(1)
 		if t, ok := c.conn.Conn.(*net.TCPConn); ok {
@@ -365,7 +372,7 @@
 	within := upstream.Progress(c.conn.SetWriteDeadline)
 	within(0)
 	if _, err := c.conn.Write(answerText(got.Status, header, first, old || req.Close || !p.stays())); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", http1.ErrPassed, err)
 	}
 	return p.transfers.Pass(c.conn, got.Rest, old, func(passed int64) error {
 		within(passed)
