--- a/cmd/oxbowloft/operate_test.go
+++ b/cmd/oxbowloft/operate_test.go
@@ -717,3 +717,40 @@
 		}
 	}
 }
+
+// While two processes run, both together hold no more descriptors than one may, however
+// many callers come; alone again, the one that stays serves on.
+func TestSharedDescriptors(t *testing.T) {
+	const limit = 128
+	slow, release := held(t)
+	p := newPlatform(t, limit, targets(slow))
+	old := p.start()
+	for range 200 {
+		old.dial().send(get(2000))
+	}
+	next := p.start()
+	for range 200 {
+		next.dial().send(get(2000))
+	}
+	next.eventually("each knows of the other", func() bool {
+		return strings.Contains(old.text(), "event=processes count=2") &&
+			strings.Contains(next.text(), "event=processes count=2")
+	})
+	together := func() int { return old.descriptors() + next.descriptors() }
+	next.eventually("within the limit together", func() bool { return together() <= limit })
+	for range 20 {
+		if n := together(); n > limit {
+			t.Errorf("%d descriptors together", n)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(release)
+	old.signal(syscall.SIGTERM)
+	if err := old.wait(); err != nil {
+		t.Errorf("the old one: %v", err)
+	}
+	next.eventually("alone again", func() bool { return strings.Contains(next.text(), "event=processes count=1") })
+	if got := next.call("PING"); got != "OK\n" {
+		t.Errorf("got %q", got)
+	}
+}
