Tidy after a read of the whole change: one piece where two did the same

No behaviour is meant to change. A chunk was framed in two ways (in place, and by Chunk); one function does both. The bound on slow bodies and that on slow transfers were the same formula written twice; http1.Slowest has it. An ordinary attempt counted in flight by a map made for each send, beside what Written does for long ones; it now begins by the same Written, and settles once. A copy of all bans was made to count them. The check of the admin address had its special case inside the loop of the others.

Not played on sockets again.

--- a/internal/http1/pass.go
+++ b/internal/http1/pass.go
@@ -20,8 +20,27 @@
 	passBuf  = 16 << 10
 	passHeld = passBuf + 2*keptBuf + firstBuf
 	chunkEnd = "\r\n"
+	// chunkRoom is left ahead of a chunk for its size.
+	chunkRoom = 16
 )
 
+// Slowest is how slowly a message may pass.
+type Slowest struct {
+	Start time.Duration // ahead of the rate
+	Rate  int64         // bytes a second, on the whole
+	Stall time.Duration // without any, however much passed before
+}
+
+// Until is when the next part must have passed, of a message that began at start and of
+// which so much has passed.
+func (s Slowest) Until(start time.Time, passed int64) time.Time {
+	end := start.Add(s.Start + time.Duration(passed)*time.Second/time.Duration(s.Rate))
+	if stall := time.Now().Add(s.Stall); stall.Before(end) {
+		return stall
+	}
+	return end
+}
+
 // NewTransfers returns transfers that hold no more than so much memory, one at least.
 func NewTransfers(memory int64) *Transfers {
 	t := &Transfers{free: make(chan []byte, max(1, memory/passHeld))}
@@ -65,7 +84,6 @@
 		return err
 	}
 	defer func() { t.free <- buf }()
-	const room = 16 // ahead of a chunk, for its size
 	chunked := r.Size < 0 && !bare
 	passed := int64(0)
 	write := func(b []byte) error {
@@ -79,14 +97,11 @@
 		return nil
 	}
 	for {
-		n, readErr := r.Read(buf[room : len(buf)-len(chunkEnd)])
+		n, readErr := r.Read(buf[chunkRoom : len(buf)-len(chunkEnd)])
 		if n > 0 {
-			b := buf[room : room+n]
+			b := buf[chunkRoom : chunkRoom+n]
 			if chunked {
-				head := strconv.AppendInt(nil, int64(n), 16)
-				head = append(head, chunkEnd...)
-				b = append(buf[room-len(head):room-len(head)], head...)[:len(head)+n]
-				b = append(b, chunkEnd...)
+				b = frame(buf, n)
 			}
 			if err := write(b); err != nil {
 				return err
@@ -134,6 +149,14 @@
 	if len(b) == 0 {
 		return nil
 	}
-	out := strconv.AppendInt(make([]byte, 0, len(b)+16), int64(len(b)), 16)
-	return append(append(append(out, chunkEnd...), b...), chunkEnd...)
+	buf := make([]byte, chunkRoom+len(b)+len(chunkEnd))
+	return frame(buf, copy(buf[chunkRoom:], b))
+}
+
+// frame makes the n bytes in buf behind chunkRoom one chunk, in place.
+func frame(buf []byte, n int) []byte {
+	size := append(strconv.AppendInt(nil, int64(n), 16), chunkEnd...)
+	start := chunkRoom - len(size)
+	copy(buf[start:], size)
+	return append(buf[start:chunkRoom+n], chunkEnd...)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -93,29 +93,19 @@
 	}
 }
 
-const (
-	// stall and slowest bound a transfer to or from a backend: how long it may stand
-	// still, and how slow it may be on the whole, in bytes a second. Peers may take
-	// seconds over a part; one that takes for ever holds a connection and a buffer.
-	stall   = 5 * time.Second
-	slowest = 16 << 10
-	// early is how long an answer to a half-sent request may take to be read once its
-	// connection has broken.
-	early = 50 * time.Millisecond
-)
+// slowest bounds a transfer to or from a backend. Peers may take seconds over a part;
+// one that takes for ever holds a connection and a buffer.
+var slowest = http1.Slowest{Start: 5 * time.Second, Rate: 16 << 10, Stall: 5 * time.Second}
+
+// early is how long an answer to a half-sent request may take to be read once its
+// connection has broken.
+const early = 50 * time.Millisecond
 
 // Progress returns what says how long each step of a transfer may take, by what has
 // passed since now.
 func Progress(set func(time.Time) error) func(passed int64) {
 	start := time.Now()
-	return func(passed int64) {
-		now := time.Now()
-		end := start.Add(stall + time.Duration(passed)*time.Second/slowest)
-		if most := now.Add(stall); most.Before(end) {
-			end = most
-		}
-		set(end)
-	}
+	return func(passed int64) { set(slowest.Until(start, passed)) }
 }
 
 var errEarly = errors.New("answered before the request's end")
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -325,7 +325,6 @@
 
 func (b *Balancer) send(now Time, q *request, to *backend, timeout time.Duration) {
 	to.sent, to.spacing = now, 1
-	b.settle(now)
 	trial := to.ejected > 0
 	to.trialOut = to.trialOut || trial
 	rested := b.set.Uneven && to.inFlight == 0 && to.used > 0 &&
@@ -334,10 +333,11 @@
 	if old {
 		b.act.CloseIdle(to.ID)
 	}
-	n := map[bool]int{false: 1}[q.Long] // guards against slow uploads that fill the limit
-	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial, rested: rested && !old, load: n})
+	q.attempts = append(q.attempts, attempt{to: to, sent: now, trial: trial, rested: rested && !old})
 	q.out++
-	to.inFlight += n
+	if !q.Long { // guards against slow uploads that fill the limit
+		b.Written(now, q.ID)
+	}
 	b.act.Send(q.ID, to.ID, timeout)
 }
 
@@ -513,7 +513,7 @@
 	b.forget(q)
 }
 
-// Written takes that a long request has wholly reached its backend, which begins with it only now.
+// Written takes that a request has wholly reached its backend, which begins now: told of long ones alone.
 func (b *Balancer) Written(now Time, id string) {
 	if q := b.requests[id]; q != nil && q.out > 0 {
 		a := &q.attempts[len(q.attempts)-1]
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -54,15 +54,11 @@
 	newLimit  = 2500 * time.Millisecond
 	partLimit = 2250 * time.Millisecond
 	idleLimit = 3 * time.Second
-
-	// A body may come at 64 kB a second. bodySlowest, in bytes a second, leaves room to
-	// come late; bodyStart is what it has ahead of that, and bodyStall how long it may
-	// stand still, however much came at once before.
-	bodySlowest = 48 << 10
-	bodyStart   = 1500 * time.Millisecond
-	bodyStall   = 2 * time.Second
 )
 
+// bodySlowest bounds bodies: they may come at 64 kB a second, and have room to come late.
+var bodySlowest = http1.Slowest{Start: 1500 * time.Millisecond, Rate: 48 << 10, Stall: 2 * time.Second}
+
 func newClients() *clients {
 	return &clients{
 		partLimit: partLimit,
@@ -163,15 +159,10 @@
 	if c.nudged {
 		return
 	}
-	now := time.Now()
 	if c.bodyFrom.IsZero() {
-		c.bodyFrom = now
+		c.bodyFrom = time.Now()
 	}
-	limit := c.bodyFrom.Add(bodyStart + time.Duration(body)*time.Second/bodySlowest)
-	if stall := now.Add(bodyStall); stall.Before(limit) {
-		limit = stall
-	}
-	c.conn.SetReadDeadline(limit)
+	c.conn.SetReadDeadline(bodySlowest.Until(c.bodyFrom, body))
 }
 
 func (s *clients) done(c *client) {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -138,17 +138,14 @@
 
 // check fills in defaults and tells what is wrong.
 func (c *Config) check() error {
-	for _, a := range []struct{ name, addr string }{
-		{"listen", c.Listen}, {"discovery", c.Discovery}, {"admin", c.Admin},
-	} {
-		if a.name == "admin" && a.addr == "" {
-			continue
-		}
-		if _, port, err := net.SplitHostPort(a.addr); err == nil && a.name == "admin" {
-			if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-				return fmt.Errorf("admin: bad port in %q", a.addr)
-			}
+	if c.Admin != "" {
+		if _, port, err := net.SplitHostPort(c.Admin); err != nil {
+			return fmt.Errorf("admin: %w", err)
+		} else if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+			return fmt.Errorf("admin: bad port in %q", c.Admin)
 		}
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return fmt.Errorf("%s: %w", a.name, err)
 		}
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -53,7 +53,7 @@
 	if !o.p.driver.knows(id) {
 		return errNobody
 	}
-	if ban && len(o.p.state.list()) >= maxBans {
+	if ban && o.p.state.count() >= maxBans {
 		return fmt.Errorf("%d backends are out by hand", maxBans)
 	}
 	o.p.hands.Lock()
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -241,14 +241,11 @@
 	return err
 }
 
-// list is the bans as this process has them.
-func (s *state) list() (ids []string) {
+// count is how many backends are out, as this process has it.
+func (s *state) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.bans {
-		ids = append(ids, id)
-	}
-	return ids
+	return len(s.bans)
 }
 
 func (s *state) close() {
