--- a/logic/logic.go
+++ b/logic/logic.go
@@ -111,7 +111,7 @@
 	arrived       Time    // last first try of a client
 	arrivals      float64 // of such
 	between, need float64 // mean time between them, mean latency that the limit allows them
-	arc           float64 // size within reach by own traffic
+	arc           float64 // size within reach by own traffic; 0: where traffic is alike
 	retryTokens   float64
 	broken        float64 // share of recent outcomes
 	lost          float64 // share of time-outs on connections that had been idle
@@ -137,6 +137,7 @@
 	members []*backend
 	near    []*backend // whose mean a busy one is held to: those within reach, where traffic is unlike
 	turn    float64    // of the last one in rotation
+	size    float64    // of them all
 }
 
 type backend struct {
@@ -216,11 +217,7 @@
 	b.hold = cmp.Or(b.hold, c.cost)
 	earned := max(1, retryShare*float64(b.patience)/max(b.gap, 1))
 	b.retryTokens = min(retryBurst, earned, b.retryTokens+retryShare)
-	if b.admit(now, q) {
-		b.try(now, q)
-	} else {
-		b.giveUp(q)
-	}
+	b.try(now, q)
 }
 
 // reckon keeps the limit's base, what own arrivals have in flight at the latency aimed at, and the arcs: a
@@ -239,17 +236,15 @@
 	b.base, b.open = calls/max(size, 1), min(b.open, openMost)
 	if arc := calls * size / max(count, 1); arc > reachMore*b.arc || arc < b.arc/reachLess {
 		b.arc = arc // seldom laid anew: each new backend in it costs a connection
-		for _, g := range b.groups {
-			b.reach(g)
-		}
+		b.reach()
 	}
 }
 
 // limit is how many calls may be in flight for each unit of warm size in use.
 func (b *Balancer) limit() float64 { return b.open * b.base }
 
-// admit is the concurrency limit, a departure: late answers are queues, and more work makes more of them.
-// What is worth least for its time goes first. Only the tier that faces clients limits.
+// admit is the concurrency limit, a departure, at the tier that faces clients: late answers are queues, and
+// more work makes more of them. What is worth least for its time goes first.
 func (b *Balancer) admit(now Time, q *request) bool {
 	if b.set.Tier > 0 {
 		return true
@@ -304,7 +299,8 @@
 		need = max(1, min(need, c.cost)) // guards against clients of little patience that get nothing
 	}
 	var to *backend
-	if len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
+	open := len(q.attempts) > 0 || b.admit(now, q)
+	if open && len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
 		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
 		to = b.pick(now, q)
 	}
@@ -834,35 +830,29 @@
 		}
 		g.turn = max(g.turn, m.turn-1/m.Size)
 		g.members, m.group = append(g.members, m), g
+		g.size += m.Size
 	}
-	for _, g := range b.groups {
-		b.reach(g)
-	}
+	b.reach()
 }
 
-// reach lays the group's sizes end to end on a ring and gives each balancer an arc, a departure where they
+// reach lays each group's sizes end to end on a ring and gives each balancer an arc, a departure where they
 // far outnumber backends: going round all, each would meet one too seldom to tell that it is slow. Arcs are
 // of one length and start apart by number, so that together they cover all evenly.
-func (b *Balancer) reach(g *group) {
+func (b *Balancer) reach() {
 	const golden = 0.6180339887 // spreads whole numbers most evenly over a ring
-	total := 0.0
-	g.near = g.near[:0]
-	for _, m := range g.members {
-		total += m.Size
-	}
 	share := reachBalancers * float64(len(b.set.Zones)) / float64(max(1, b.set.Balancers))
-	arc := total * max(share, reachLeast/float64(len(g.members)))
-	if b.set.Uneven {
-		arc = max(arc, b.arc)
-	}
-	at := -total * math.Mod(golden*float64(b.set.Me), 1)
-	for _, m := range g.members {
-		lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
-		m.part = min(m.Size, lap(at)+lap(at+total))
-		m.past = one(m.part == 0) * max(1e-9, (at+total*one(at < 0)-arc)/total)
-		at += m.Size
-		if m.part > 0 || !b.set.Uneven {
-			g.near = append(g.near, m)
+	for _, g := range b.groups {
+		arc := max(b.arc, g.size*max(share, reachLeast/float64(len(g.members))))
+		at := -g.size * math.Mod(golden*float64(b.set.Me), 1)
+		g.near = g.near[:0]
+		for _, m := range g.members {
+			lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
+			m.part = min(m.Size, lap(at)+lap(at+g.size))
+			m.past = one(m.part == 0) * max(1e-9, (at+g.size*one(at < 0)-arc)/g.size)
+			at += m.Size
+			if m.part > 0 || !b.set.Uneven {
+				g.near = append(g.near, m)
+			}
 		}
 	}
 }
