http1: a connection tells whether its peer has closed it, also behind unread bytes

A peek sees an end only once nothing is unread ahead of it. PeerClosed asks poll(2) with a time-out of zero for POLLRDHUP, POLLHUP and POLLERR, takes nothing, and counts what it can't see as open.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Sizes of a message. What is larger ends as ErrHeadTooLarge or ErrBodyTooLarge.
@@ -445,6 +447,24 @@
 	return max(0, n), err
 }
 
+// PeerClosed tells whether the peer has ended or reset the connection, as far as can be
+// seen without waiting, also behind bytes that have not been read: a read tells of an end
+// only once all ahead of it is gone. What can't be seen counts as open. It may be called
+// from any goroutine, and takes nothing.
+func (c *Conn) PeerClosed() bool {
+	if c.raw == nil {
+		return false
+	}
+	closed := false
+	failed := c.raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		closed = err == nil && n > 0 && p[0].Revents&unix.POLLNVAL == 0 &&
+			p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return failed == nil && closed
+}
+
 // Watch calls gone from a goroutine of its own if the peer ends the connection
 // before Unwatch, or ahead if it sends on. What comes stays in the buffer, and
 // nothing is noticed after it. Where a watch stands, it goes on.
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -224,6 +224,64 @@
 	eventually(t, "a connection with something to read is not quiet", func() bool { return !c.Quiet() })
 }
 
+// An end is seen at once, also behind bytes that nobody has read, in the buffer or in the
+// kernel; an open connection is open, and what can't be seen counts as that.
+func TestPeerClosed(t *testing.T) {
+	read := func(c *Conn) { // into the buffer
+		if err := c.Await(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, ahead := range []struct {
+		name   string
+		bytes  string
+		before func(*Conn)
+	}{
+		{"nothing unread", "", func(*Conn) {}},
+		{"unread in the kernel", "half a line", func(*Conn) {}},
+		{"unread in the buffer", "half a line", read},
+	} {
+		for name, end := range map[string]func(*net.TCPConn){
+			"open":        nil,
+			"end":         func(c *net.TCPConn) { c.Close() },
+			"half an end": func(c *net.TCPConn) { c.CloseWrite() },
+			"reset": func(c *net.TCPConn) {
+				c.SetLinger(0)
+				c.Close()
+			},
+		} {
+			c, far := tcp(t)
+			io.WriteString(far, ahead.bytes)
+			ahead.before(c)
+			if c.PeerClosed() {
+				t.Errorf("%s, %s: closed before its end", name, ahead.name)
+			}
+			if end == nil {
+				continue
+			}
+			end(far.(*net.TCPConn))
+			eventually(t, name+", "+ahead.name+": seen", c.PeerClosed)
+			// It takes nothing: what was sent is still there, and the end is seen on.
+			got, _ := io.ReadAll(c)
+			if all := string(c.buf[c.start:c.end]) + string(got); all != ahead.bytes {
+				t.Errorf("%s, %s: then read %q, want %q", name, ahead.name, all, ahead.bytes)
+			}
+			if !c.PeerClosed() {
+				t.Errorf("%s, %s: open again once it was read", name, ahead.name)
+			}
+		}
+	}
+	c, far := tcp(t)
+	far.Close()
+	c.Close()
+	if c.PeerClosed() {
+		t.Error("a connection that was closed here tells of its peer")
+	}
+	if NewConn(split("")).PeerClosed() {
+		t.Error("a connection without a descriptor tells of its peer")
+	}
+}
+
 func TestWatch(t *testing.T) {
 	c, far := tcp(t)
 	gone, ahead := make(chan bool, 1), make(chan bool, 1)
