List's freshness by one clock, and a second look before an attempt's first byte

Causes, from reading the code: 1. Only silence made the list stale (ListFailed in logic.go: b.unsure was set for ListSilent alone). After a watch that was reset, a call that was turned away, cut off or hung in its dial, the old list was used for as long as the failures went on. What was decided was not looked at again when a slow dial ended (Exchange in upstream.go dialled, then wrote): by then the backend may drain, be gone, detached, moved or started again, the client may have left, the time for a repeat be over, the list be stale. 3. A client that left stopped only what the module cancels, in a mesh with limits.cancel; an end that came before the request was read, or behind an unread body, was not seen.

Changes: 1. internal/discovery keeps until when the list is fresh and tells the module (ListFresh, in place of TellWithin and of the times of failures). The clock goes on with a list that is taken, with a sign of life behind it on the same watch, and with a refused connection, as nobody is there who could have told; with nothing else. It ends 4 s after SIGHUP at the latest and, where lists are pushed, half a grace after the start or the end of a watch. The module's waits are those of an ask-within time of 12 s at most, so that more than one call fits into the 6 s. 2. Once the connection stands and before the first byte, the module is asked whether the send still holds (Connected); else the attempt ends as never sent: open to another choice, no word against the backend. That a backend is still the one that was chosen (moved, started again, gone) the driver knows by its place. 3. An attempt that has not begun when its client leaves is dropped, its dial given up; one that has begun ends as the settings say. Before a request is handed on, and before its first byte, the connection is asked whether its peer has closed it.

Tests: TestNothingUnsureIsUsed held that failures without silence leave the list as it is, which the new term ends; TestNothingStaleIsUsed asks that the clock alone counts, after each kind of failure. TestHalfClosed did not force the order of the end and the attempt, and what has not begun is no longer sent; now the stand-in forces it.

--- a/cmd/oxbowloft/main_test.go
+++ b/cmd/oxbowloft/main_test.go
@@ -629,24 +629,28 @@
 	}
 }
 
-// Guards against no answer at all to a client that ends its own side once it
-// has asked, and still reads.
+// Guards against no answer at all to a client that ends its own side once it has asked,
+// and still reads: what has begun then is answered as it ends. (Nothing begins for it: proxy's
+// TestClientGoneInDial and TestClientGoneBefore.)
 func TestHalfClosed(t *testing.T) {
-	release := make(chan bool)
-	r := startOn(t, standin.NewBackend(t, func(c *standin.Call) {
+	began, release := make(chan bool), make(chan bool)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		began <- true
 		<-release
 		if c.Method == "POST" {
 			c.Reset()
 			return
 		}
 		standin.Echo(c)
-	}))
+	})
+	r := startOn(t, b)
 	for _, c := range []struct {
 		text   string
 		status int
 	}{{get(2000), 200}, {post("pay", "x", 2000), 502}} {
 		cl := r.dial()
 		cl.send(c.text)
+		<-began
 		cl.Conn.(*net.TCPConn).CloseWrite()
 		time.Sleep(20 * time.Millisecond) // so that it is most likely noticed first
 		release <- true
--- a/fleet/model/model.go
+++ b/fleet/model/model.go
@@ -256,7 +256,7 @@
 		p.b = logic.New(0, logic.Settings{
 			Seed: cfg.Seed*1000 + uint64(i), Zone: v.Zone, Zones: zones, Classes: classes,
 			Balancers: cfg.Members, Me: i, Uneven: cfg.Uneven, MaxAttempts: 3,
-			MaxComeBack: 2 * time.Second, TellWithin: time.Minute, Grace: time.Second,
+			MaxComeBack: 2 * time.Second, Grace: time.Second,
 		}, p)
 		p.b.List(0, true, list)
 		p.f, _ = overload.New(0, overload.Settings{Classes: told, Compact: cfg.Compact}, v)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -99,9 +100,11 @@
 }
 
 const (
-	// TellWithin is how long after a watch has fallen silent, by the protocol, what it
-	// has missed counts as told, whether or not it has come.
+	// TellWithin is how long after discovery had a change and could be reached, by the
+	// protocol, the change counts as told, whatever became of watches and calls.
 	TellWithin = 6 * time.Second
+	// tellMoved is the same after a new configuration has named another address.
+	tellMoved = 4 * time.Second
 
 	dialLimit = 2 * time.Second
 	// lifeEvery is how often, by the protocol, a watch that has nothing to tell shows
@@ -117,28 +120,33 @@
 	// been drained; one that stays behind has begun to count anew.
 	mostBehind = 3
 
-	// Between calls that fail, where the client asks by itself.
+	// Between calls that fail, where the client asks by itself: lists are pushed there, and
+	// what can be had counts as told at once.
 	firstWait   = 250 * time.Millisecond
-	longestWait = 4 * time.Second
+	longestWait = time.Second
 )
 
 // Client watches the list at one address.
 type Client struct {
 	OnList func(*List)
-	// OnFailed is told that a call failed or a watch ended, and since when news may
-	// have been missed: the last byte of a watch, or the beginning of the call.
-	OnFailed func(why Failure, since time.Time)
+	// OnFailed is told that a call failed or a watch ended.
+	OnFailed func(why Failure)
+	// OnFresh is told until when the list holds all that counts as told: at the start, and
+	// whenever that changes. It must not call the client, but for Ask.
+	OnFresh func(until time.Time)
 	// Dial, if set, is used in place of the net package's. It is set before Run.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	ask    chan struct{}
 	always bool
+	slack  time.Duration // where lists are pushed: for which one may be used that is not followed
 
 	mu     sync.Mutex
 	addr   string
 	rev    int64         // of the newest list from addr
 	behind int           // watches in a row that began with an older whole list
 	moved  chan struct{} // closed when addr is another
+	fresh  time.Time     // until then the list holds all that counts as told
 }
 
 // New returns a client that has the list of version rev.
@@ -146,10 +154,12 @@
 	return &Client{addr: addr, rev: rev, ask: make(chan struct{}, 1), moved: make(chan struct{})}
 }
 
-// Always makes the client ask by itself, at once and after each failure. It is
+// Always makes the client ask by itself, at once and after each failure. It is for lists
+// that are pushed: what there is counts as told at once, also while no watch is open and
+// from the start, so that the list is fresh for no more than slack without one. It is
 // called before Run.
-func (c *Client) Always() {
-	c.always = true
+func (c *Client) Always(slack time.Duration) {
+	c.always, c.slack = true, slack
 	c.Ask()
 }
 
@@ -173,9 +183,53 @@
 	c.addr, c.rev, c.behind = addr, 0, 0
 	close(c.moved)
 	c.moved = make(chan struct{})
+	c.freshUntil(earlier(c.fresh, time.Now().Add(tellMoved)))
 	return true
 }
 
+// freshUntil keeps the one clock of the list, and tells of it. The lock is held, so that
+// what is told last is what holds.
+func (c *Client) freshUntil(t time.Time) {
+	c.fresh = t
+	c.OnFresh(t)
+}
+
+// confirm notes that at a time nothing was missing from the list, as addr has shown: it has
+// told all that it had, or it could not be reached. Nothing else puts the clock forward: a
+// call that is turned away, cut off or left without an answer may have missed a change.
+func (c *Client) confirm(addr string, at time.Time, within time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until := at.Add(within); addr == c.addr && until.After(c.fresh) {
+		c.freshUntil(until)
+	}
+}
+
+// lost notes how a call or a watch of addr came to its end at now. Silence is told apart by
+// the protocol: also where lists are pushed, what it misses counts as told later.
+func (c *Client) lost(addr string, why Failure, err error) {
+	now := time.Now()
+	within := TellWithin
+	if c.always {
+		within = c.slack
+	}
+	if c.always && why != Silent {
+		c.mu.Lock()
+		c.freshUntil(earlier(c.fresh, now.Add(within)))
+		c.mu.Unlock()
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) { // nobody is there who could have told
+		c.confirm(addr, now, within)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // source is where the list comes from now, until moved is closed.
 func (c *Client) source() (addr string, rev int64, moved <-chan struct{}) {
 	c.mu.Lock()
@@ -215,6 +269,11 @@
 func (c *Client) Run(ctx context.Context) {
 	wait := firstWait
 	addr, rev, moved := c.source()
+	if c.always {
+		c.confirm(addr, time.Now(), c.slack)
+	} else {
+		c.confirm(addr, time.Now(), TellWithin)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -223,7 +282,7 @@
 		case <-moved:
 		}
 		addr, rev, moved = c.source()
-		why, since, err := c.watch(ctx, addr, rev, moved)
+		why, err := c.watch(ctx, addr, rev, moved)
 		if ctx.Err() != nil {
 			return
 		}
@@ -240,7 +299,8 @@
 		case <-c.ask: // asked while the watch stood
 		default:
 		}
-		c.OnFailed(why, since)
+		c.lost(addr, why, err)
+		c.OnFailed(why)
 		if !c.always {
 			continue
 		}
@@ -252,9 +312,8 @@
 	}
 }
 
-// watch makes a single watch and reads it to its end. It returns how it ended, and since
-// when news may have been missed.
-func (c *Client) watch(ctx context.Context, addr string, rev int64, moved <-chan struct{}) (Failure, time.Time, error) {
+// watch makes a single watch and reads it to its end. It returns how it ended.
+func (c *Client) watch(ctx context.Context, addr string, rev int64, moved <-chan struct{}) (Failure, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -264,7 +323,6 @@
 		case <-ctx.Done():
 		}
 	}()
-	heard := time.Now()
 	dial := c.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -273,27 +331,24 @@
 	defer stop()
 	nc, err := dial(dialing, "tcp", addr)
 	if err != nil {
-		return Unreached, heard, fmt.Errorf("dial: %w", err)
+		return Unreached, fmt.Errorf("dial: %w", err)
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	nc.SetDeadline(time.Now().Add(silence))
 	_, err = fmt.Fprintf(nc, "GET /v1/servers?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", rev, addr)
 	if err != nil {
-		return failure(err, Unreached), heard, fmt.Errorf("ask: %w", err)
+		return failure(err, Unreached), fmt.Errorf("ask: %w", err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
 	if err != nil {
-		return failure(err, Unreached), heard, fmt.Errorf("answer: %w", err)
+		return failure(err, Unreached), fmt.Errorf("answer: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return TurnedAway, heard, fmt.Errorf("answer: %s", resp.Status)
+		return TurnedAway, fmt.Errorf("answer: %s", resp.Status)
 	}
-	err = c.follow(resp.Body, addr, func() {
-		heard = time.Now()
-		nc.SetDeadline(heard.Add(silence))
-	})
-	return failure(err, Ended), heard, err
+	err = c.follow(resp.Body, addr, func() { nc.SetDeadline(time.Now().Add(silence)) })
+	return failure(err, Ended), err
 }
 
 // failure is Silent for what ran out of time, and else other.
@@ -307,11 +362,18 @@
 // follow reads the lists of a watch of addr, however they are laid out; alive is called
 // with whatever comes.
 func (c *Client) follow(r io.Reader, addr string, alive func()) error {
-	body := &stream{r: r, alive: alive}
+	current := false // this watch has brought a list that is in use
+	confirm := func() {
+		if current {
+			c.confirm(addr, time.Now(), TellWithin)
+		}
+	}
+	body := &stream{r: r, alive: alive, idle: confirm}
 	lists := json.NewDecoder(body)
 	for first := true; ; first = false {
 		var text json.RawMessage
-		body.left = maxList
+		begun, _ := lists.Buffered().Read(make([]byte, 1)) // of the next one, read ahead
+		body.left, body.begun = maxList, begun > 0
 		if err := lists.Decode(&text); err != nil {
 			return fmt.Errorf("list: %w", err)
 		}
@@ -326,6 +388,10 @@
 		if use {
 			c.OnList(l)
 		}
+		if use { // one that is older says nothing, and takes nothing back
+			current = true
+			confirm()
+		}
 	}
 }
 
@@ -335,7 +401,9 @@
 type stream struct {
 	r     io.Reader
 	alive func()
-	left  int // bytes that the list may still have
+	idle  func() // called with a line end alone where no list has begun: a sign of life
+	left  int    // bytes that the list may still have
+	begun bool
 }
 
 // Read implements io.Reader.
@@ -354,6 +422,11 @@
 		if s.left -= len(kept); s.left < 0 {
 			return 0, fmt.Errorf("over %d bytes", maxList)
 		}
+		if len(kept) > 0 {
+			s.begun = true
+		} else if n > 0 && !s.begun {
+			s.idle()
+		}
 		if len(kept) > 0 || err != nil {
 			return len(kept), err
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -51,11 +51,11 @@
 	c = discovery.New(addr, rev)
 	lists, failed = make(chan *discovery.List, 100), make(chan discovery.Failure, 100)
 	c.OnList = func(l *discovery.List) { lists <- l }
-	c.OnFailed = func(why discovery.Failure, since time.Time) {
-		if since.IsZero() || since.After(time.Now()) {
-			t.Errorf("%v: news missing since %v", why, since)
+	c.OnFailed = func(why discovery.Failure) { failed <- why }
+	c.OnFresh = func(until time.Time) {
+		if until.After(time.Now().Add(discovery.TellWithin)) {
+			t.Errorf("fresh until %v, %v ahead", until, time.Until(until))
 		}
-		failed <- why
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan bool)
@@ -256,8 +256,9 @@
 	d.Down(true)
 	c := discovery.New(d.Addr(), 0)
 	lists := make(chan *discovery.List, 10)
-	c.OnList, c.OnFailed = func(l *discovery.List) { lists <- l }, func(discovery.Failure, time.Time) {}
-	c.Always()
+	c.OnList, c.OnFailed = func(l *discovery.List) { lists <- l }, func(discovery.Failure) {}
+	c.OnFresh = func(time.Time) {}
+	c.Always(time.Second)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan bool)
 	go func() { defer close(done); c.Run(ctx) }()
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -35,7 +35,7 @@
 type fleet struct {
 	reg     *standin.Registry
 	began   time.Time
-	deaf    bool // members do not hear that a call has failed
+	deaf    bool // members do not hear that a call has failed, nor how old their list is
 	tasks   sync.WaitGroup
 	members []*member
 	size    int // of the first start: members that are started later take the places of those killed
@@ -108,12 +108,13 @@
 		m.client.Dial = f.reg.Dial
 		m.client.OnList = m.list
 		m.client.OnFailed = m.failed
+		m.client.OnFresh = m.fresh
 		m.do(func(now logic.Time) {
 			m.balancer = logic.New(now, logic.Settings{
 				Seed: uint64(id + 1), Zone: "z1", Zones: []string{"z1"}, Balancers: f.size, Me: id % f.size,
 				Classes:     []logic.Class{{Name: "get", Aim: 500 * ms, Deadline: 2 * sec, Worth: 1}},
 				MaxAttempts: 1, AskForList: true, AskWithin: 10 * sec,
-				TellWithin: tellWithin, Grace: grace,
+				Grace: grace,
 			}, m)
 			var known []logic.Backend
 			for i := range backends {
@@ -180,7 +181,13 @@
 	})
 }
 
-func (m *member) failed(why discovery.Failure, since time.Time) {
+func (m *member) fresh(until time.Time) {
+	if !m.deaf {
+		m.do(func(logic.Time) { m.balancer.ListFresh(at(until)) })
+	}
+}
+
+func (m *member) failed(why discovery.Failure) {
 	loss := logic.ListBroken
 	switch why {
 	case discovery.TurnedAway:
@@ -189,7 +196,7 @@
 		loss = logic.ListSilent
 	}
 	if !m.deaf {
-		m.do(func(now logic.Time) { m.balancer.ListFailed(now, loss, at(since)) })
+		m.do(func(now logic.Time) { m.balancer.ListFailed(now, loss) })
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -122,7 +122,7 @@
 
 func (in *instance) list(now logic.Time, e *wire.Event) error {
 	if *e.Kind == "FAILED" {
-		in.balancer.ListFailed(now, logic.ListRefused, now) // the wire does not say how
+		in.balancer.ListFailed(now, logic.ListRefused) // the wire does not say how
 		return nil
 	}
 	if !slices.Contains([]string{"SAVED", "FULL", "INCREMENTAL"}, *e.Kind) {
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -55,6 +55,7 @@
 	changed  chan struct{}     // closed with the next change
 	free     time.Time         // when the work taken in is done
 	uncut    chan struct{}     // closed when dials go through again; nil: they do
+	since    time.Time         // callers can reach it
 	up       context.Context   // of all that is served until the service is next down
 	shut     func()            // ends up
 	open     map[*watch]bool   // calls taken in and watches, none of them silent
@@ -94,7 +95,7 @@
 	if opt.Life == 0 {
 		opt.Life = 2 * time.Second
 	}
-	r := &Registry{t: t, opt: opt, changed: make(chan struct{}),
+	r := &Registry{t: t, opt: opt, since: time.Now(), changed: make(chan struct{}),
 		open: map[*watch]bool{}, told: map[string][]news{}}
 	r.up, r.shut = context.WithCancel(context.Background())
 	return r
@@ -141,7 +142,7 @@
 		r.uncut = make(chan struct{})
 	case !cut && r.uncut != nil:
 		close(r.uncut)
-		r.uncut = nil
+		r.uncut, r.since = nil, time.Now()
 	}
 }
 
@@ -151,6 +152,7 @@
 	defer r.mu.Unlock()
 	if r.shut(); !down && !r.over {
 		r.up, r.shut = context.WithCancel(context.Background())
+		r.since = time.Now()
 	}
 	r.free = time.Time{}
 }
@@ -172,12 +174,24 @@
 
 // Told is since when who counts as told of a revision, if it does by now: once it has
 // been written whole to it, or, as the caller of a silent watch or call, once that has
-// been silent for the time within, and no list has come to it on a later call.
+// been silent for the time within, and no list has come to it on a later call; whatever
+// became of its calls, once the service has had the revision, and could be reached, for
+// the time within.
 func (r *Registry) Told(who string, rev int, within time.Duration) (at time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var due time.Time // by the silence, if there is one
 	written := r.changes[rev-1].made.Add(r.opt.LateBy)
+	last := written // by the time alone
+	if last.Before(r.since) {
+		last = r.since
+	}
+	last = last.Add(within)
+	defer func() {
+		if r.up.Err() == nil && r.uncut == nil && !time.Now().Before(last) && (!ok || last.Before(at)) {
+			at, ok = last, true
+		}
+	}()
+	var due time.Time // by the silence, if there is one
 	for _, n := range r.told[who] {
 		switch {
 		case !due.IsZero() && !n.at.Before(due):
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,7 +21,7 @@
 
 // The stages of an exchange.
 const (
-	Unsent   Stage = iota // no connection to be had here: the budget is used up
+	Unsent   Stage = iota // no connection to be had here, or it was not wanted any more: nothing is written
 	Unopened              // not connected, or not wholly written
 	Written               // wholly written; it may have run
 	Answered              // an answer came, perhaps a malformed one
@@ -39,6 +39,8 @@
 	DialTimeout time.Duration
 	IdleLimit   time.Duration // idle connections are closed by then
 	Slots       Slots
+	// Dial, if set, is used in place of the net package's. It is set before the first exchange.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	Opened  atomic.Int64 // connections, to all backends
 	Relayed atomic.Int64 // requests written whole
@@ -67,6 +69,7 @@
 	Text      func(left time.Duration) []byte // head and body, or its first part, with the time left
 	Rest      *http1.Rest                     // of a long body; nil: none
 	Transfers *http1.Transfers                // for it
+	Connected func() bool                     // asked before the first byte whether it is still to be sent; nil: it is
 	Written   func()                          // called once all of it is written; may be nil
 	Timeout   time.Duration                   // from then on, or from the start where there is no rest
 }
@@ -126,6 +129,10 @@
 		}
 		return Answer{Stage: Unopened, Err: err}
 	}
+	if req.Connected != nil && !req.Connected() {
+		b.keep(c) // nothing has been written on it
+		return Answer{Stage: Unsent, Err: errUnwanted}
+	}
 	c.SetDeadline(deadline)
 	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer unwatch()
@@ -226,7 +233,10 @@
 	return err
 }
 
-var errNoSlot = errors.New("no descriptor to spare")
+var (
+	errNoSlot   = errors.New("no descriptor to spare")
+	errUnwanted = errors.New("no longer to be sent")
+)
 
 // restLeast is how long a connection rests after an answer, while another can be
 // had: what a backend sends right behind an answer comes in that time, is seen, and
@@ -248,8 +258,11 @@
 	if spare != nil {
 		b.keep(spare)
 	}
-	d := net.Dialer{Timeout: b.opt.DialTimeout, Deadline: deadline, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", b.Addr)
+	dial := b.opt.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: b.opt.DialTimeout, Deadline: deadline, KeepAlive: -1}).DialContext
+	}
+	nc, err := dial(ctx, "tcp", b.Addr)
 	if err != nil {
 		b.opt.Slots.Give()
 		return nil, err
--- a/logic/api.go
+++ b/logic/api.go
@@ -59,7 +59,6 @@
 	MaxComeBack time.Duration // longest come-back time clients obey; 0: none
 	AskForList  bool          // list changes come only once asked for
 	AskWithin   time.Duration // ask at least this often while not watching
-	TellWithin  time.Duration // what a silent watch misses counts as told after this
 	Grace       time.Duration // after being told of a drain, in which sends may still go there
 	ColdShare   float64       // share of its capacity a backend starts with
 	WarmWithin  time.Duration // it has all of it after this at the latest
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,4 @@
-// The decisions. The interface is in api.go; the reasons are in docs/design.md. Functions follow a request's
-// life: arrival, the fit test, choice, outcome, the next attempt, the answer; then what is learned, the list.
+// The decisions, in the order of a request's life. The interface is in api.go, the reasons in docs/design.md.
 
 package logic
 
@@ -103,7 +102,7 @@
 	askWait  time.Duration
 	asked    Time          // for the list, until there was an answer; 0: there was
 	silent   bool          // the last call or watch just said nothing
-	unsure   Time          // from then on the list may lack what counts as told; 0: it is whole
+	stale    Time          // from then on the list may lack what counts as told; 0: never
 	patience time.Duration // first ejection
 
 	open          float64 // the limit on calls in flight, as a multiple of the base
@@ -385,7 +384,7 @@
 // serving tells whether m is in service: by the list, by hand and, where the list may lack what counts as
 // told by now, by what m did. What took a call sent within the grace can't have been drained for longer.
 func (b *Balancer) serving(now Time, m *backend) bool {
-	return m.State == Up && !b.banned[m.ID] && (b.unsure == 0 || now < max(b.unsure, m.took+b.set.Grace))
+	return m.State == Up && !b.banned[m.ID] && (b.stale == 0 || now < max(b.stale, m.took+b.set.Grace))
 }
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first by a random part of
@@ -522,6 +521,19 @@
 	b.forget(q)
 }
 
+// Connected takes that the connection for an attempt stands, and tells whether it still is to be written.
+// Guards against what changed meanwhile: a drain, a ban, a repeat no longer dropped, a client that left.
+func (b *Balancer) Connected(now Time, id string) bool {
+	q := b.requests[id]
+	if q == nil || q.ended || q.out == 0 {
+		return false
+	}
+	a := &q.attempts[len(q.attempts)-1]
+	a.notRun = true // till then
+	a.notRun = a.to.gone || a.sent < a.to.back || !b.serving(now, a.to) || !b.mayRepeat(now, q, a.to)
+	return !a.notRun
+}
+
 // Written takes that a request has wholly reached its backend, which begins now: told of long ones alone.
 func (b *Balancer) Written(now Time, id string) {
 	if q := b.requests[id]; q != nil && q.out > 0 {
@@ -602,7 +614,7 @@
 func (b *Balancer) repeatable(now Time, q *request) bool {
 	const memoryShare = 0.9 // the send must reach the backend while it remembers
 	c, ran := &b.classes[q.Class], q.mayHaveRun()
-	return q.out == 0 && !q.spent && (ran == nil || c.Repeat == Safe || // one attempt at a time
+	return !q.spent && (ran == nil || c.Repeat == Safe ||
 		c.Repeat == Keyed && float64(now-ran.sent) < memoryShare*float64(c.Memory))
 }
 
@@ -698,8 +710,7 @@
 	c.allowance = max(min(c.allowance, most), allowanceFloor*float64(c.Deadline))
 }
 
-// correctLimit moves the limit until the mean strain is on target, but only while it
-// is in use: else a quiet hour would close it, or open it to a flood.
+// correctLimit moves the limit towards the target strain while it is in use: a quiet hour tells nothing.
 func (b *Balancer) correctLimit(now Time, c *class, strain float64) {
 	t := b.tally(now, b.listed)
 	// Guards against work turned away where latencies are long without any queue. One late call counts as 1.
@@ -748,7 +759,7 @@
 
 // List takes news of the backends: the full list, or changed lines only.
 func (b *Balancer) List(now Time, full bool, lines []Backend) {
-	b.askWait, b.asked, b.silent, b.unsure = b.firstAsk(), 0, false, 0
+	b.askWait, b.asked, b.silent = b.firstAsk(), 0, false
 	for _, m := range b.listed {
 		m.gone = full
 	}
@@ -857,17 +868,16 @@
 	}
 }
 
-// ListFailed takes that asking failed or the watch broke, and since when news may be missing: ask again,
-// later and later, not before twice the time for which the call waited: guards against hundreds of callers
-// who keep discovery's queue too long for all. Silence, the first time, is no queue, and time is short.
-func (b *Balancer) ListFailed(now Time, why Loss, since Time) {
+// ListFailed takes that asking failed: ask again, later and later, after twice the time that the call waited:
+// guards against hundreds who keep discovery's queue too long. A first silence is no queue: time is short.
+func (b *Balancer) ListFailed(now Time, why Loss) {
 	most, waited := b.set.AskWithin, time.Duration(one(b.asked > 0))*(now-b.asked)
 	if soon := time.Duration(askMost * float64(most)); askAgain*waited < soon {
 		most = soon
 	}
 	wait := min(max(b.askWait, askAgain*waited), most)
 	if why == ListSilent && !b.silent {
-		wait, b.unsure = b.firstAsk(), cmp.Or(b.unsure, since+b.set.TellWithin)
+		wait = b.firstAsk()
 	}
 	b.asked, b.silent, b.askWait = 0, why == ListSilent, 2*wait
 	if b.set.AskForList {
@@ -875,6 +885,9 @@
 	}
 }
 
+// ListFresh takes until when the list holds all that counts as told, whatever becomes of asking.
+func (b *Balancer) ListFresh(until Time) { b.stale = until }
+
 // ListMoved takes that the list comes from another source: how the old one failed says nothing of it.
 func (b *Balancer) ListMoved() { b.askWait, b.asked, b.silent = b.firstAsk(), 0, false }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -445,6 +445,87 @@
 	}
 }
 
+// What was decided is looked at again when the connection stands: guards against requests
+// that a slow dial takes to a backend after it was drained, and the like. An attempt that is
+// not written has not run, and says nothing against its backend.
+func TestConnected(t *testing.T) {
+	drained, removed := line("b", 1), line("b", 1)
+	drained.State, removed.State = Draining, Removed
+	for _, c := range []struct {
+		name  string
+		class int
+		ran   bool // a first attempt may have run, at b1, just before
+		do    func(b *Balancer)
+		want  bool
+	}{
+		{"nothing happened", unsafe, false, func(*Balancer) {}, true},
+		{"drained", safe, false, func(b *Balancer) { b.List(100*ms, false, []Backend{drained}) }, false},
+		{"gone", safe, false, func(b *Balancer) { b.List(100*ms, false, []Backend{removed}) }, false},
+		{"not in a whole list", safe, false, func(b *Balancer) { b.List(100*ms, true, nil) }, false},
+		{"drained and back", safe, false, func(b *Balancer) {
+			b.List(100*ms, false, []Backend{drained})
+			b.List(110*ms, false, []Backend{line("b", 1)})
+		}, true},
+		{"detached", safe, false, func(b *Balancer) { b.Detach("b1") }, false},
+		{"detached and attached, cold", safe, false, func(b *Balancer) {
+			b.Detach("b1")
+			b.Attach(110*ms, "b1")
+		}, false},
+		{"the list is stale", safe, false, func(b *Balancer) { b.ListFresh(150 * ms) }, false},
+		{"the client left", safe, false, func(b *Balancer) { b.Gone(100*ms, "r") }, false},
+		{"this balancer ends", safe, false, func(b *Balancer) { b.End("r") }, false},
+		{"a repeat in time", keyed, true, func(*Balancer) {}, true},
+		{"a repeat after the memory for it", keyed, true, func(b *Balancer) { b.classes[keyed].Memory = 200 * ms }, false},
+		{"a safe repeat has no such end", safe, true, func(b *Balancer) { b.classes[safe].Memory = 200 * ms }, true},
+	} {
+		b, f := start(testSettings(), line("b", 1))
+		b.allow(c.class, 100*ms)
+		b.retryTokens = 5
+		b.Arrive(0, Request{ID: "r", Class: c.class, Budget: 2000 * ms})
+		attempt := 0
+		if c.ran {
+			b.Done(10*ms, Outcome{Request: "r", Result: Broken, Latency: 10 * ms})
+			token, wait := f.wait(t)
+			b.Wake(10*ms+wait, token)
+			attempt = 1
+		}
+		failures := b.backends["b1"].failures
+		c.do(b)
+		if got := b.Connected(200*ms, "r"); got != c.want {
+			t.Errorf("%s: still to be sent %t, want %t", c.name, got, c.want)
+		}
+		if c.want || len(f.answers["r"]) > 0 {
+			continue
+		}
+		b.Done(200*ms, Outcome{Request: "r", Attempt: attempt, Result: NeverSent, Latency: 200 * ms})
+		if m := b.backends["b1"]; m != nil && m.failures > failures {
+			t.Errorf("%s: it counts against the backend", c.name)
+		}
+		if c.name == "the client left" {
+			if len(b.requests) > 0 {
+				t.Errorf("%s: the request is kept", c.name)
+			}
+			continue
+		}
+		if len(f.answers["r"]) == 0 { // it waits for another choice
+			token, wait := f.wait(t)
+			b.Wake(200*ms+wait, token)
+		}
+		if strings.HasSuffix(c.name, "cold") { // the one that is back may be the choice
+			if n := len(f.sends); n != 2 || f.sends[1].backend != "b1" {
+				t.Errorf("%s: %d sends", c.name, n)
+			}
+			continue
+		}
+		if a := f.one(t, "r"); !a.refused {
+			t.Errorf("%s: failed, though nothing of it has run or it may run again", c.name)
+		}
+	}
+	if b, _ := start(testSettings(), line("b", 1)); b.Connected(0, "none") {
+		t.Error("an unknown request is to be sent")
+	}
+}
+
 func TestEmptyList(t *testing.T) {
 	b, f := start(testSettings())
 	b.Arrive(0, Request{ID: "r", Class: unsafe, Budget: 2000 * ms})
@@ -865,7 +946,7 @@
 	}
 	for range 10 {
 		delete(f.wakes, listToken)
-		b.ListFailed(200*ms, ListRefused, 0)
+		b.ListFailed(200*ms, ListRefused)
 		// After a call that failed silence counts as knowing four times as late.
 		if w := f.wakes[listToken]; w <= 0 || w > 2*set.AskWithin {
 			t.Errorf("asks again after %v", w)
@@ -886,14 +967,14 @@
 		f := newFake()
 		b := New(0, set, f)
 		b.Wake(100*ms, listToken)
-		b.ListFailed(100*ms+c.waited, ListRefused, 0)
+		b.ListFailed(100*ms+c.waited, ListRefused)
 		if w := f.wakes[listToken]; w < c.least || w > c.most {
 			t.Errorf("waited %v in vain, asks again after %v", c.waited, w)
 		}
 		// A watch that breaks after long has had its answer: its time says nothing.
 		b.Wake(200000*ms, listToken)
 		b.List(200001*ms, true, []Backend{line("b", 0)})
-		b.ListFailed(260000*ms, ListBroken, 0)
+		b.ListFailed(260000*ms, ListBroken)
 		if w := f.wakes[listToken]; w > 750*ms {
 			t.Errorf("a watch broke, asks again after %v", w)
 		}
@@ -905,7 +986,7 @@
 // that comes at once never makes the waits longer than the time for which a list may be held.
 func TestAsksAgainByWhatFailed(t *testing.T) {
 	set := testSettings()
-	set.AskForList, set.AskWithin, set.TellWithin = true, 10000*ms, 6000*ms
+	set.AskForList, set.AskWithin = true, 10000*ms
 	type loss struct {
 		why    Loss
 		waited time.Duration
@@ -938,7 +1019,7 @@
 				}
 				now += f.wakes[listToken]
 				b.Wake(now, listToken)
-				b.ListFailed(now+l.waited, l.why, now)
+				b.ListFailed(now+l.waited, l.why)
 				now += l.waited
 			}
 			if w := f.wakes[listToken]; w < c.least || w > c.most {
@@ -948,12 +1029,12 @@
 	}
 }
 
-// When what a silent watch has missed counts as told, any backend may be drained, but for
-// one that has taken a call sent within the grace. All else is refused at once until
-// there is a list. Incident: docs/incidents/silentwatch.md.
-func TestNothingUnsureIsUsed(t *testing.T) {
+// When what the list may lack counts as told, any backend may be drained, but for one that
+// has taken a call sent within the grace. All else is refused at once until the list is
+// fresh, whatever became of asking meanwhile. Incident: docs/incidents/silentwatch.md.
+func TestNothingStaleIsUsed(t *testing.T) {
 	set := testSettings()
-	set.AskForList, set.AskWithin, set.TellWithin, set.Grace = true, 10000*ms, 6000*ms, 500*ms
+	set.AskForList, set.AskWithin, set.Grace = true, 10000*ms, 500*ms
 	b, f := start(set, line("b", 0), line("b", 1))
 	b.setLimit(10)
 	serial := 0
@@ -972,10 +1053,11 @@
 	served := func(at Time) {
 		b.Done(at, Outcome{Request: fmt.Sprint(serial), Result: OK, Latency: 100 * ms, Final: true})
 	}
-	b.ListFailed(13000*ms, ListSilent, 10000*ms)
-	b.ListFailed(14000*ms, ListRefused, 13900*ms) // this changes nothing of it
+	b.ListFresh(16000 * ms)
+	b.ListFailed(13000*ms, ListSilent)
+	b.ListFailed(14000*ms, ListRefused) // this changes nothing of it
 	b.ListMoved()
-	b.ListFailed(17000*ms, ListSilent, 14500*ms)
+	b.ListFailed(17000*ms, ListSilent)
 	took := ask(15900 * ms)
 	if took == "" {
 		t.Fatal("refused while the list may be held")
@@ -996,14 +1078,29 @@
 		}
 	}
 	b.List(30100*ms, false, nil)
+	b.ListFresh(36100 * ms)
 	if ask(30200*ms) == "" {
 		t.Error("refused though there is a list")
 	}
-	// A watch that ends, and calls that fail, leave the list as it is.
-	b.ListFailed(31000*ms, ListBroken, 31000*ms)
-	b.ListFailed(40000*ms, ListRefused, 31500*ms)
-	if ask(50000*ms) == "" {
-		t.Error("refused though nothing fell silent")
+	served(30300 * ms)
+	// The clock alone counts: a list by itself, from whatever source, is no word of now, and
+	// a watch that ends or calls that fail neither stop the clock nor hurry it.
+	b.ListFailed(31000*ms, ListBroken)
+	b.ListFailed(34000*ms, ListRefused)
+	if ask(36000*ms) == "" {
+		t.Error("refused though the list is fresh")
+	}
+	b.ListFailed(36200*ms, ListRefused)
+	b.List(36300*ms, true, []Backend{line("b", 0), line("b", 1)})
+	for _, why := range []Loss{ListRefused, ListBroken, ListSilent} {
+		b.ListFailed(37000*ms, why)
+		if to := ask(37000 * ms); to != "" {
+			t.Errorf("to %q after a failure of kind %v, of which nothing is known", to, why)
+		}
+	}
+	b.ListFresh(50000 * ms)
+	if ask(49900*ms) == "" {
+		t.Error("refused though the list is fresh again")
 	}
 }
 
@@ -1038,7 +1135,7 @@
 		}
 	}
 	fail := func(now time.Duration, c *one) {
-		c.ListFailed(now, ListRefused, now) // by the protocol such a call ends with an answer
+		c.ListFailed(now, ListRefused) // by the protocol such a call ends with an answer
 		c.dueAt = now + c.f.wakes[listToken]
 	}
 	free := time.Duration(0) // when discovery can take the next
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -131,7 +131,7 @@
 
 func (w *world) WatchList() {
 	if w.rng.IntN(3) == 0 {
-		w.b.ListFailed(w.now, ListRefused, w.now)
+		w.b.ListFailed(w.now, ListRefused)
 	}
 }
 
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -197,7 +197,9 @@
 	if c.logic, err = c.Settings.Logic(seed); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	c.logic.TellWithin = discovery.TellWithin
+	// Guards against waits between calls for the list that don't fit into the time after
+	// which what it misses counts as told: the module takes its waits from this one.
+	c.logic.AskWithin = min(c.logic.AskWithin, 2*discovery.TellWithin)
 	return nil
 }
 
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -54,6 +54,7 @@
 	name   string // its caller's id
 	sends  int
 	cancel func()      // gives up the attempt sent last
+	begun  bool        // that attempt is being written, or has been
 	steps  chan step   // room for one step and the client's going
 	timer  *time.Timer // of its backoff
 	ahead  atomic.Bool // its caller has sent on before the answer
@@ -73,6 +74,7 @@
 type step struct {
 	kind     stepKind
 	attempt  int
+	uid      string // of the backend
 	to       *upstream.Backend
 	sent     time.Time
 	timeout  time.Duration
@@ -124,6 +126,17 @@
 	return r
 }
 
+// connected reports that the connection for an attempt stands, and tells whether the
+// attempt still is to be written.
+func (d *driver) connected(r *call, s step) (yes bool) {
+	d.do(func(now logic.Time) {
+		// A backend that has moved is another machine, whatever the module knows of it.
+		yes = d.backends[s.uid].Backend == s.to && d.balancer.Connected(now, r.id)
+		r.begun = yes
+	})
+	return yes
+}
+
 // written reports that the attempt of a long request has been written whole.
 func (d *driver) written(r *call) {
 	d.do(func(now logic.Time) { d.balancer.Written(now, r.id) })
@@ -156,10 +169,14 @@
 	d.over(r, stepAhead)
 }
 
-// over reports that a request has ended without the module, and hands on how.
+// over reports that a request has ended without the module, and hands on how. An attempt
+// that has not begun is given up; whether one that has begun is, the module says.
 func (d *driver) over(r *call, how stepKind) {
 	d.do(func(now logic.Time) {
 		d.balancer.Gone(now, r.id)
+		if r.cancel != nil && !r.begun {
+			r.cancel()
+		}
 		r.steps <- step{kind: how}
 	})
 }
@@ -247,16 +264,20 @@
 	d.do(func(logic.Time) { d.balancer.ListMoved() })
 }
 
-// listFailed reports that asking for the list has failed, and since when news may be
-// missing.
-func (d *driver) listFailed(why discovery.Failure, since time.Time) {
+// listFresh reports until when the list holds all that counts as told.
+func (d *driver) listFresh(until time.Time) {
+	d.do(func(logic.Time) { d.balancer.ListFresh(d.clock.at(until)) })
+}
+
+// listFailed reports that asking for the list has failed.
+func (d *driver) listFailed(why discovery.Failure) {
 	losses := map[discovery.Failure]logic.Loss{
 		discovery.TurnedAway: logic.ListRefused,
 		discovery.Unreached:  logic.ListBroken,
 		discovery.Silent:     logic.ListSilent,
 		discovery.Ended:      logic.ListBroken,
 	}
-	d.do(func(now logic.Time) { d.balancer.ListFailed(now, losses[why], d.clock.at(since)) })
+	d.do(func(now logic.Time) { d.balancer.ListFailed(now, losses[why]) })
 }
 
 // all returns the backends there are.
@@ -302,10 +323,10 @@
 // Send implements logic.Actions.
 func (d *driver) Send(request, backend string, timeout time.Duration) {
 	r := d.calls[request]
-	s := step{kind: stepSend, attempt: r.sends, to: d.backends[backend].Backend, sent: time.Now()}
+	s := step{kind: stepSend, attempt: r.sends, uid: backend, to: d.backends[backend].Backend, sent: time.Now()}
 	s.timeout = timeout
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	r.cancel = s.cancel
+	r.cancel, r.begun = s.cancel, false
 	r.steps <- s
 	r.sends++
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -126,6 +126,7 @@
 	p.list = discovery.New(cfg.Discovery, cfg.known.Rev)
 	p.driver = newDriver(cfg, opt, p.list.Ask, p.stats)
 	p.list.OnFailed = p.driver.listFailed
+	p.list.OnFresh = p.driver.listFresh
 	p.list.OnList = func(l *discovery.List) {
 		log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
 		p.driver.list(l)
@@ -239,7 +240,7 @@
 		}
 	}
 	if !p.cfg.logic.AskForList { // the module leaves asking to us
-		p.list.Always()
+		p.list.Always(p.cfg.logic.Grace / 2) // the other half is for the send itself
 	}
 	background, stop := context.WithCancel(context.Background())
 	p.tasks.Go(func() { p.list.Run(background) })
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -56,6 +56,9 @@
 		return false
 	}
 	start := time.Now()
+	if c.conn.PeerClosed() { // while it waited to be read: nobody is to be asked for it
+		return p.clientGone(c, req)
+	}
 
 	// Arrive.
 	call := p.driver.arrive(in.id, in.class, in.budget, in.retry, rest != nil)
@@ -81,6 +84,12 @@
 		switch step.kind {
 		case stepSend:
 			out := &upstream.Request{Timeout: step.timeout, Rest: rest, Transfers: p.transfers}
+			out.Connected = func() bool {
+				if c.conn.PeerClosed() { // also behind a body that nobody has read to its end
+					p.driver.gone(call)
+				}
+				return p.driver.connected(call, step)
+			}
 			out.Text = func(left time.Duration) []byte { return forward(req, step.to.Addr, body, rest, left) }
 			if rest == nil {
 				watch()
@@ -132,14 +141,19 @@
 			p.turnAway(c, http.StatusBadRequest, errAhead)
 			return false
 		case stepGone:
-			// It may have ended its own side alone, and still read.
-			p.stats.gone.Add(1)
-			p.answer(c, req, http.StatusBadGateway, nil, "client left")
-			return false
+			return p.clientGone(c, req)
 		}
 	}
 }
 
+// clientGone ends a request whose client has left. It may have ended its own side alone,
+// and still read.
+func (p *Proxy) clientGone(c *client, req *http.Request) bool {
+	p.stats.gone.Add(1)
+	p.answer(c, req, http.StatusBadGateway, nil, "client left")
+	return false
+}
+
 // incoming is what the module needs to know of a request.
 type incoming struct {
 	id     string
