A request's id is free with its answer, and one step tells that its client left

Two reports of a client's going would have filled the room that call.steps has, under the driver's lock.

Change: the driver forgets a request once its answer is known, before its first byte; over hands on one going.

Seen: TestIDIsFreeWithTheAnswer fails on both ways without it.

--- a/proxy/connect_test.go
+++ b/proxy/connect_test.go
@@ -193,3 +193,43 @@
 		t.Errorf("%d calls after the client left", n)
 	}
 }
+
+// onWrite is a connection that calls a function before each write.
+type onWrite struct {
+	net.Conn
+	before func()
+}
+
+func (c onWrite) Write(b []byte) (int, error) {
+	c.before()
+	return c.Conn.Write(b)
+}
+
+// Whoever has read an answer may use its id again at once: guards against a 409 for it.
+func TestIDIsFreeWithTheAnswer(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+	p.cfg.Grace = time.Millisecond
+	defer running(t, p)()
+	for _, detached := range []bool{false, true} {
+		p.driver.byHand("s-1", detached)
+		near, far := net.Pipe()
+		c := &client{since: time.Now(), conn: http1.NewConn(onWrite{far, func() {
+			p.driver.mu.Lock()
+			defer p.driver.mu.Unlock()
+			if len(p.driver.open)+len(p.driver.calls) > 0 {
+				t.Error("the id is still taken as its answer is written")
+			}
+		}})}
+		go io.WriteString(near, text("get", 2000))
+		done := make(chan bool)
+		go func() { defer close(done); p.exchange(c) }()
+		resp, _ := read(t, near)
+		if ok := resp.StatusCode == http.StatusOK; ok == detached {
+			t.Errorf("got %d", resp.StatusCode)
+		}
+		<-done
+		near.Close()
+		far.Close()
+	}
+}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -55,6 +55,7 @@
 	sends  int
 	cancel func()      // gives up the attempt sent last
 	begun  bool        // that attempt is being written, or has been
+	left   bool        // its client has: the step that says so is out
 	steps  chan step   // room for one step and the client's going
 	timer  *time.Timer // of its backoff
 	ahead  atomic.Bool // its caller has sent on before the answer
@@ -173,6 +174,10 @@
 // that has not begun is given up; whether one that has begun is, the module says.
 func (d *driver) over(r *call, how stepKind) {
 	d.do(func(now logic.Time) {
+		if r.left { // there is room for one such step
+			return
+		}
+		r.left = true
 		d.balancer.Gone(now, r.id)
 		if r.cancel != nil && !r.begun {
 			r.cancel()
@@ -194,15 +199,19 @@
 	})
 }
 
-// forget lets go of a request that has its answer.
+// forget lets go of a request whose answer is known. It comes before the first byte of
+// the answer: who has read that may use the id again at once.
 func (d *driver) forget(r *call) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.calls[r.id] != r {
+		return // the id may be another one's by now
+	}
 	delete(d.calls, r.id)
 	delete(d.open, r.name)
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	d.mu.Unlock()
 }
 
 // list hands on news of the backends.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -81,6 +81,9 @@
 	// Step, attempt, outcome, until there is an answer.
 	for {
 		step := <-call.steps
+		if step.kind != stepSend {
+			p.driver.forget(call)
+		}
 		switch step.kind {
 		case stepSend:
 			out := &upstream.Request{Timeout: step.timeout, Rest: rest, Transfers: p.transfers}
@@ -109,6 +112,9 @@
 			step.cancel()
 			p.driver.done(call, step, result, final, rest != nil && rest.Begun())
 			p.stats.attempt(result)
+			if final {
+				p.driver.forget(call)
+			}
 			switch {
 			case errors.Is(got.Source, http1.ErrBusy):
 				ends[throttled].Add(1)
