--- a/test.sh
+++ b/test.sh
@@ -38,6 +38,26 @@
 	exit 1
 fi
 
+# Tests that fail for a fault which is known and not yet mended, a line each: the test's name,
+# the cause, the issue. Just these are passed over, and told.
+skip='^$'
+if [ -f KNOWN-RED.txt ]; then
+	if [ "$(grep -c '[^[:space:]]' KNOWN-RED.txt)" -gt 3 ]; then
+		echo "KNOWN-RED.txt has more than three lines" >&2
+		exit 1
+	fi
+	while read -r line || [ -n "$line" ]; do
+		[ -n "$line" ] || continue
+		name=${line%%[!A-Za-z0-9_]*}
+		if [ "$(grep -rhE "^func $name\(" --include='*_test.go' . | grep -c '^func Test')" -ne 1 ]; then
+			echo "KNOWN-RED.txt: no test, or more than one, is named '$name': $line" >&2
+			exit 1
+		fi
+		echo "known to fail, passed over: $line"
+		skip="$skip|^$name\$"
+	done <KNOWN-RED.txt
+fi
+
 # One package at a time: beside the module's large fleets the built program's requests would
 # run out of their time for want of a core, and the verdict would be the machine's.
 # The fleet's deciding packages have no goroutines: nothing can race there, and their random
@@ -49,8 +69,8 @@
 seed=-rapid.seed=1
 # shellcheck disable=SC2046,SC2086 # one word a package
 {
-	go test -race -count=1 -p 1 $(go list ./... | grep -vxF -e "$pure" -e "$random")
-	go test -race -count=1 -p 1 $(echo "$random" | grep -vxF "$pure") $seed
-	go test -count=1 -p 2 $(echo "$pure" | grep -vxF "$random")
-	go test -count=1 -p 2 $(echo "$pure" | grep -xF "$random") $seed
+	go test -race -count=1 -p 1 -skip "$skip" $(go list ./... | grep -vxF -e "$pure" -e "$random")
+	go test -race -count=1 -p 1 -skip "$skip" $(echo "$random" | grep -vxF "$pure") $seed
+	go test -count=1 -p 2 -skip "$skip" $(echo "$pure" | grep -vxF "$random")
+	go test -count=1 -p 2 -skip "$skip" $(echo "$pure" | grep -xF "$random") $seed
 }
