--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,4 @@
-// The decisions. The interface is in api.go; the reasons are in docs/design.md. Functions follow a request's
-// life: arrival, the fit test, choice, outcome, the next attempt, the answer; then what is learned, the list.
+// The decisions, in the order of a request's life. The interface is in api.go, the reasons in docs/design.md.
 
 package logic
 
@@ -103,7 +102,7 @@
 	askWait  time.Duration
 	asked    Time          // for the list, until there was an answer; 0: there was
 	silent   bool          // the last call or watch just said nothing
-	unsure   Time          // from then on the list may lack what counts as told; 0: it is whole
+	stale    Time          // from then on the list may lack what counts as told; 0: never
 	patience time.Duration // first ejection
 
 	open          float64 // the limit on calls in flight, as a multiple of the base
@@ -111,7 +110,7 @@
 	arrived       Time    // last first try of a client
 	arrivals      float64 // of such
 	between, need float64 // mean time between them, mean latency that the limit allows them
-	arc           float64 // size within reach by own traffic
+	arc           float64 // size within reach by own traffic; 0: where traffic is alike
 	retryTokens   float64
 	broken        float64 // share of recent outcomes
 	lost          float64 // share of time-outs on connections that had been idle
@@ -137,6 +136,7 @@
 	members []*backend
 	near    []*backend // whose mean a busy one is held to: those within reach, where traffic is unlike
 	turn    float64    // of the last one in rotation
+	size    float64    // of them all
 }
 
 type backend struct {
@@ -216,11 +216,7 @@
 	b.hold = cmp.Or(b.hold, c.cost)
 	earned := max(1, retryShare*float64(b.patience)/max(b.gap, 1))
 	b.retryTokens = min(retryBurst, earned, b.retryTokens+retryShare)
-	if b.admit(now, q) {
-		b.try(now, q)
-	} else {
-		b.giveUp(q)
-	}
+	b.try(now, q)
 }
 
 // reckon keeps the limit's base, what own arrivals have in flight at the latency aimed at, and the arcs: a
@@ -239,17 +235,15 @@
 	b.base, b.open = calls/max(size, 1), min(b.open, openMost)
 	if arc := calls * size / max(count, 1); arc > reachMore*b.arc || arc < b.arc/reachLess {
 		b.arc = arc // seldom laid anew: each new backend in it costs a connection
-		for _, g := range b.groups {
-			b.reach(g)
-		}
+		b.reach()
 	}
 }
 
 // limit is how many calls may be in flight for each unit of warm size in use.
 func (b *Balancer) limit() float64 { return b.open * b.base }
 
-// admit is the concurrency limit, a departure: late answers are queues, and more work makes more of them.
-// What is worth least for its time goes first. Only the tier that faces clients limits.
+// admit is the concurrency limit, a departure, at the tier that faces clients: late answers are queues, and
+// more work makes more of them. What is worth least for its time goes first.
 func (b *Balancer) admit(now Time, q *request) bool {
 	if b.set.Tier > 0 {
 		return true
@@ -304,7 +298,8 @@
 		need = max(1, min(need, c.cost)) // guards against clients of little patience that get nothing
 	}
 	var to *backend
-	if len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
+	open := len(q.attempts) > 0 || b.admit(now, q)
+	if open && len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
 		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
 		to = b.pick(now, q)
 	}
@@ -389,7 +384,7 @@
 // serving tells whether m is in service: by the list, by hand and, where the list may lack what counts as
 // told by now, by what m did. What took a call sent within the grace can't have been drained for longer.
 func (b *Balancer) serving(now Time, m *backend) bool {
-	return m.State == Up && !b.banned[m.ID] && (b.unsure == 0 || now < max(b.unsure, m.took+b.set.Grace))
+	return m.State == Up && !b.banned[m.ID] && (b.stale == 0 || now < max(b.stale, m.took+b.set.Grace))
 }
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first by a random part of
@@ -526,6 +521,19 @@
 	b.forget(q)
 }
 
+// Connected takes that the connection for an attempt stands, and tells whether it still is to be written.
+// Guards against what changed meanwhile: a drain, a ban, a repeat no longer dropped, a client that left.
+func (b *Balancer) Connected(now Time, id string) bool {
+	q := b.requests[id]
+	if q == nil || q.ended || q.out == 0 {
+		return false
+	}
+	a := &q.attempts[len(q.attempts)-1]
+	a.notRun = true // till then
+	a.notRun = a.to.gone || a.sent < a.to.back || !b.serving(now, a.to) || !b.mayRepeat(now, q, a.to)
+	return !a.notRun
+}
+
 // Written takes that a request has wholly reached its backend, which begins now: told of long ones alone.
 func (b *Balancer) Written(now Time, id string) {
 	if q := b.requests[id]; q != nil && q.out > 0 {
@@ -606,7 +614,7 @@
 func (b *Balancer) repeatable(now Time, q *request) bool {
 	const memoryShare = 0.9 // the send must reach the backend while it remembers
 	c, ran := &b.classes[q.Class], q.mayHaveRun()
-	return q.out == 0 && !q.spent && (ran == nil || c.Repeat == Safe || // one attempt at a time
+	return !q.spent && (ran == nil || c.Repeat == Safe ||
 		c.Repeat == Keyed && float64(now-ran.sent) < memoryShare*float64(c.Memory))
 }
 
@@ -702,8 +710,7 @@
 	c.allowance = max(min(c.allowance, most), allowanceFloor*float64(c.Deadline))
 }
 
-// correctLimit moves the limit until the mean strain is on target, but only while it
-// is in use: else a quiet hour would close it, or open it to a flood.
+// correctLimit moves the limit towards the target strain while it is in use: a quiet hour tells nothing.
 func (b *Balancer) correctLimit(now Time, c *class, strain float64) {
 	t := b.tally(now, b.listed)
 	// Guards against work turned away where latencies are long without any queue. One late call counts as 1.
@@ -752,7 +759,7 @@
 
 // List takes news of the backends: the full list, or changed lines only.
 func (b *Balancer) List(now Time, full bool, lines []Backend) {
-	b.askWait, b.asked, b.silent, b.unsure = b.firstAsk(), 0, false, 0
+	b.askWait, b.asked, b.silent = b.firstAsk(), 0, false
 	for _, m := range b.listed {
 		m.gone = full
 	}
@@ -834,50 +841,43 @@
 		}
 		g.turn = max(g.turn, m.turn-1/m.Size)
 		g.members, m.group = append(g.members, m), g
+		g.size += m.Size
 	}
-	for _, g := range b.groups {
-		b.reach(g)
-	}
+	b.reach()
 }
 
-// reach lays the group's sizes end to end on a ring and gives each balancer an arc, a departure where they
+// reach lays each group's sizes end to end on a ring and gives each balancer an arc, a departure where they
 // far outnumber backends: going round all, each would meet one too seldom to tell that it is slow. Arcs are
 // of one length and start apart by number, so that together they cover all evenly.
-func (b *Balancer) reach(g *group) {
+func (b *Balancer) reach() {
 	const golden = 0.6180339887 // spreads whole numbers most evenly over a ring
-	total := 0.0
-	g.near = g.near[:0]
-	for _, m := range g.members {
-		total += m.Size
-	}
 	share := reachBalancers * float64(len(b.set.Zones)) / float64(max(1, b.set.Balancers))
-	arc := total * max(share, reachLeast/float64(len(g.members)))
-	if b.set.Uneven {
-		arc = max(arc, b.arc)
-	}
-	at := -total * math.Mod(golden*float64(b.set.Me), 1)
-	for _, m := range g.members {
-		lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
-		m.part = min(m.Size, lap(at)+lap(at+total))
-		m.past = one(m.part == 0) * max(1e-9, (at+total*one(at < 0)-arc)/total)
-		at += m.Size
-		if m.part > 0 || !b.set.Uneven {
-			g.near = append(g.near, m)
+	for _, g := range b.groups {
+		arc := max(b.arc, g.size*max(share, reachLeast/float64(len(g.members))))
+		at := -g.size * math.Mod(golden*float64(b.set.Me), 1)
+		g.near = g.near[:0]
+		for _, m := range g.members {
+			lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
+			m.part = min(m.Size, lap(at)+lap(at+g.size))
+			m.past = one(m.part == 0) * max(1e-9, (at+g.size*one(at < 0)-arc)/g.size)
+			at += m.Size
+			if m.part > 0 || !b.set.Uneven {
+				g.near = append(g.near, m)
+			}
 		}
 	}
 }
 
-// ListFailed takes that asking failed or the watch broke, and since when news may be missing: ask again,
-// later and later, not before twice the time for which the call waited: guards against hundreds of callers
-// who keep discovery's queue too long for all. Silence, the first time, is no queue, and time is short.
-func (b *Balancer) ListFailed(now Time, why Loss, since Time) {
+// ListFailed takes that asking failed: ask again, later and later, after twice the time that the call waited:
+// guards against hundreds who keep discovery's queue too long. A first silence is no queue: time is short.
+func (b *Balancer) ListFailed(now Time, why Loss) {
 	most, waited := b.set.AskWithin, time.Duration(one(b.asked > 0))*(now-b.asked)
 	if soon := time.Duration(askMost * float64(most)); askAgain*waited < soon {
 		most = soon
 	}
 	wait := min(max(b.askWait, askAgain*waited), most)
 	if why == ListSilent && !b.silent {
-		wait, b.unsure = b.firstAsk(), cmp.Or(b.unsure, since+b.set.TellWithin)
+		wait = b.firstAsk()
 	}
 	b.asked, b.silent, b.askWait = 0, why == ListSilent, 2*wait
 	if b.set.AskForList {
@@ -885,6 +885,9 @@
 	}
 }
 
+// ListFresh takes until when the list holds all that counts as told, whatever becomes of asking.
+func (b *Balancer) ListFresh(until Time) { b.stale = until }
+
 // ListMoved takes that the list comes from another source: how the old one failed says nothing of it.
 func (b *Balancer) ListMoved() { b.askWait, b.asked, b.silent = b.firstAsk(), 0, false }
 
