While the list is stale, what took a call is used for as long as no drain of it can count

Change: what took a call sent at some time had not been drained by then, and a change counts as told only 6 s after discovery had it. So for those 6 s it is used, where the watch ended or calls failed with a word. After silence, and where lists are pushed, what is made counts at once, and the grace stays the bound (ListFresh says which holds).

Measured: TestFleet, whose registry counts by the same terms, finds no late send; TestFresh asks for the lag after each failure, TestNothingStaleIsUsed for both bounds.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -131,9 +131,10 @@
 	OnList func(*List)
 	// OnFailed is told that a call failed or a watch ended.
 	OnFailed func(why Failure)
-	// OnFresh is told until when the list holds all that counts as told: at the start, and
-	// whenever that changes. It must not call the client, but for Ask.
-	OnFresh func(until time.Time)
+	// OnFresh is told until when the list holds all that counts as told, and how long after
+	// a change is made it counts as told from then on: at the start, and whenever either
+	// changes. It must not call the client, but for Ask.
+	OnFresh func(until time.Time, lag time.Duration)
 	// Dial, if set, is used in place of the net package's. It is set before Run.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -147,6 +148,7 @@
 	behind int           // watches in a row that began with an older whole list
 	moved  chan struct{} // closed when addr is another
 	fresh  time.Time     // until then the list holds all that counts as told
+	silent bool          // a call or watch has said nothing, and no list has come since
 }
 
 // New returns a client that has the list of version rev.
@@ -191,16 +193,27 @@
 // what is told last is what holds.
 func (c *Client) freshUntil(t time.Time) {
 	c.fresh = t
-	c.OnFresh(t)
+	lag := TellWithin
+	if c.always || c.silent { // what is made counts at once
+		lag = 0
+	}
+	c.OnFresh(t, lag)
 }
 
 // confirm notes that at a time nothing was missing from the list, as addr has shown: it has
 // told all that it had, or it could not be reached. Nothing else puts the clock forward: a
 // call that is turned away, cut off or left without an answer may have missed a change.
-func (c *Client) confirm(addr string, at time.Time, within time.Duration) {
+// heard says that addr has told, which ends a silence.
+func (c *Client) confirm(addr string, at time.Time, within time.Duration, heard bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if until := at.Add(within); addr == c.addr && until.After(c.fresh) {
+	if addr != c.addr {
+		return
+	}
+	if heard {
+		c.silent = false
+	}
+	if until := at.Add(within); until.After(c.fresh) {
 		c.freshUntil(until)
 	}
 }
@@ -213,13 +226,17 @@
 	if c.always {
 		within = c.slack
 	}
-	if c.always && why != Silent {
-		c.mu.Lock()
+	c.mu.Lock()
+	switch {
+	case why == Silent:
+		c.silent = true
+		c.freshUntil(c.fresh)
+	case c.always:
 		c.freshUntil(earlier(c.fresh, now.Add(within)))
-		c.mu.Unlock()
 	}
+	c.mu.Unlock()
 	if errors.Is(err, syscall.ECONNREFUSED) { // nobody is there who could have told
-		c.confirm(addr, now, within)
+		c.confirm(addr, now, within, false)
 	}
 }
 
@@ -270,9 +287,9 @@
 	wait := firstWait
 	addr, rev, moved := c.source()
 	if c.always {
-		c.confirm(addr, time.Now(), c.slack)
+		c.confirm(addr, time.Now(), c.slack, false)
 	} else {
-		c.confirm(addr, time.Now(), TellWithin)
+		c.confirm(addr, time.Now(), TellWithin, false)
 	}
 	for {
 		select {
@@ -365,7 +382,7 @@
 	current := false // this watch has brought a list that is in use
 	confirm := func() {
 		if current {
-			c.confirm(addr, time.Now(), TellWithin)
+			c.confirm(addr, time.Now(), TellWithin, true)
 		}
 	}
 	body := &stream{r: r, alive: alive, idle: confirm}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -52,9 +52,9 @@
 	lists, failed = make(chan *discovery.List, 100), make(chan discovery.Failure, 100)
 	c.OnList = func(l *discovery.List) { lists <- l }
 	c.OnFailed = func(why discovery.Failure) { failed <- why }
-	c.OnFresh = func(until time.Time) {
-		if until.After(time.Now().Add(discovery.TellWithin)) {
-			t.Errorf("fresh until %v, %v ahead", until, time.Until(until))
+	c.OnFresh = func(until time.Time, lag time.Duration) {
+		if until.After(time.Now().Add(discovery.TellWithin)) || lag != 0 && lag != discovery.TellWithin {
+			t.Errorf("fresh until %v, %v ahead, with a lag of %v", until, time.Until(until), lag)
 		}
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -257,7 +257,7 @@
 	c := discovery.New(d.Addr(), 0)
 	lists := make(chan *discovery.List, 10)
 	c.OnList, c.OnFailed = func(l *discovery.List) { lists <- l }, func(discovery.Failure) {}
-	c.OnFresh = func(time.Time) {}
+	c.OnFresh = func(time.Time, time.Duration) {}
 	c.Always(time.Second)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan bool)
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -181,9 +181,9 @@
 	})
 }
 
-func (m *member) fresh(until time.Time) {
+func (m *member) fresh(until time.Time, lag time.Duration) {
 	if !m.deaf {
-		m.do(func(logic.Time) { m.balancer.ListFresh(at(until)) })
+		m.do(func(logic.Time) { m.balancer.ListFresh(at(until), lag) })
 	}
 }
 
--- a/internal/discovery/fresh_test.go
+++ b/internal/discovery/fresh_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -107,6 +108,7 @@
 	}
 	cut := func(s *source, _ *discovery.Client) { s.set(silent); s.cut() }
 	nothing := func(*source, *discovery.Client) {}
+	wait := func(*source, *discovery.Client) { time.Sleep(3 * sec) }
 	list := step{"a list", ask(lists(5)), 6 * sec}
 	life := step{"a sign of life", say("\n"), 6 * sec}
 	for _, c := range []struct {
@@ -119,7 +121,9 @@
 		{"turned away", false, []step{list, life, {"cut", cut, same}, {"503", ask(busy), same}, {"again", ask(busy), same}, list}},
 		{"turned away from the start", false, []step{{"503", ask(busy), same}, {"again", ask(busy), same}, list}},
 		{"reset", false, []step{list, {"cut", cut, same}, {"reset", ask(reset), same}, {"503", ask(busy), same}, {"cut again", cut, same}}},
-		{"a call hangs", false, []step{list, {"cut", cut, same}, {"hangs", ask(silent), same}}},
+		{"a call hangs", false, []step{list, {"cut", cut, same}, {"hangs", ask(silent), same}, {"silence", wait, same},
+			{"silence, then 503", ask(busy), same}, {"silence, then refused", ask(nil), 6 * sec}, list}},
+		{"a watch falls silent", false, []step{list, {"silence", wait, same}, {"silence, then 503", ask(busy), same}, list}},
 		{"nobody there", false, []step{list, {"cut", cut, same}, {"refused", ask(nil), 6 * sec}, {"again", ask(nil), 6 * sec}, {"503", ask(busy), same}}},
 		{"an older list begins a watch", false, []step{list, {"cut", cut, same}, {"older", ask(lists(4)), same}, {"older", ask(lists(4)), same}}},
 		{"an older list on a standing watch", false, []step{list, {"older", say(standin.List(4, true) + "\n"), same}, life}},
@@ -140,11 +144,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				var mu sync.Mutex
 				var until time.Time
+				var lag time.Duration
 				s := &source{}
 				client := discovery.New("127.0.0.1:80", 3)
 				client.Dial = s.dial
 				client.OnList, client.OnFailed = func(*discovery.List) {}, func(discovery.Failure) {}
-				client.OnFresh = func(t time.Time) { mu.Lock(); until = t; mu.Unlock() }
+				client.OnFresh = func(t time.Time, l time.Duration) { mu.Lock(); until, lag = t, l; mu.Unlock() }
 				s.set(silent)
 				if c.pushed {
 					s.set(lists(5))
@@ -175,6 +180,13 @@
 					if step.fresh == same {
 						want = before
 					}
+					wantLag := 6 * sec // for which a change made later is not told
+					if c.pushed || strings.HasPrefix(step.name, "silence") {
+						wantLag = 0
+					}
+					if lag != wantLag {
+						t.Errorf("%s: what is made then counts after %v, want %v", step.name, lag, wantLag)
+					}
 					if !got.Equal(want) {
 						t.Errorf("%s: fresh for %v from then on, want %v", step.name, got.Sub(began), want.Sub(began))
 					}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -103,6 +103,7 @@
 	asked    Time          // for the list, until there was an answer; 0: there was
 	silent   bool          // the last call or watch just said nothing
 	stale    Time          // from then on the list may lack what counts as told; 0: never
+	lag      time.Duration // what changes then counts as told so much later
 	patience time.Duration // first ejection
 
 	open          float64 // the limit on calls in flight, as a multiple of the base
@@ -382,9 +383,9 @@
 }
 
 // serving tells whether m is in service: by the list, by hand and, where the list may lack what counts as
-// told by now, by what m did. What took a call sent within the grace can't have been drained for longer.
+// told by now, by what m did. What took a call was not drained when that was sent.
 func (b *Balancer) serving(now Time, m *backend) bool {
-	return m.State == Up && !b.banned[m.ID] && (b.stale == 0 || now < max(b.stale, m.took+b.set.Grace))
+	return m.State == Up && !b.banned[m.ID] && (b.stale == 0 || now < max(b.stale, m.took+max(b.lag, b.set.Grace)))
 }
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first by a random part of
@@ -521,8 +522,7 @@
 	b.forget(q)
 }
 
-// Connected takes that the connection for an attempt stands, and tells whether it still is to be written.
-// Guards against what changed meanwhile: a drain, a ban, a repeat no longer dropped, a client that left.
+// Connected tells whether an attempt still holds once its connection stands: a dial may outlast a drain.
 func (b *Balancer) Connected(now Time, id string) bool {
 	q := b.requests[id]
 	if q == nil || q.ended || q.out == 0 {
@@ -703,8 +703,8 @@
 	c.bound()
 }
 
-// bound keeps the allowance where attempts make sense, a departure: within budgets, and at the percentile of
-// an exponential latency of that mean, since thin traffic brings it down slowly.
+// bound keeps the allowance within budgets, a departure, and at the percentile of an exponential latency of
+// that mean, since thin traffic brings it down slowly.
 func (c *class) bound() {
 	most := min(allowanceCeiling*c.budget, max(allowanceStart*c.budget, -math.Log(1-allowanceRank)*c.mean))
 	c.allowance = max(min(c.allowance, most), allowanceFloor*float64(c.Deadline))
@@ -885,8 +885,8 @@
 	}
 }
 
-// ListFresh takes until when the list holds all that counts as told, whatever becomes of asking.
-func (b *Balancer) ListFresh(until Time) { b.stale = until }
+// ListFresh takes until when the list holds all that counts as told, and how late changes count from then on.
+func (b *Balancer) ListFresh(until Time, lag time.Duration) { b.stale, b.lag = until, lag }
 
 // ListMoved takes that the list comes from another source: how the old one failed says nothing of it.
 func (b *Balancer) ListMoved() { b.askWait, b.asked, b.silent = b.firstAsk(), 0, false }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -471,7 +471,7 @@
 			b.Detach("b1")
 			b.Attach(110*ms, "b1")
 		}, false},
-		{"the list is stale", safe, false, func(b *Balancer) { b.ListFresh(150 * ms) }, false},
+		{"the list is stale", safe, false, func(b *Balancer) { b.ListFresh(150*ms, 0) }, false},
 		{"the client left", safe, false, func(b *Balancer) { b.Gone(100*ms, "r") }, false},
 		{"this balancer ends", safe, false, func(b *Balancer) { b.End("r") }, false},
 		{"a repeat in time", keyed, true, func(*Balancer) {}, true},
@@ -1053,7 +1053,7 @@
 	served := func(at Time) {
 		b.Done(at, Outcome{Request: fmt.Sprint(serial), Result: OK, Latency: 100 * ms, Final: true})
 	}
-	b.ListFresh(16000 * ms)
+	b.ListFresh(16000*ms, 0)
 	b.ListFailed(13000*ms, ListSilent)
 	b.ListFailed(14000*ms, ListRefused) // this changes nothing of it
 	b.ListMoved()
@@ -1078,7 +1078,7 @@
 		}
 	}
 	b.List(30100*ms, false, nil)
-	b.ListFresh(36100 * ms)
+	b.ListFresh(36100*ms, 0)
 	if ask(30200*ms) == "" {
 		t.Error("refused though there is a list")
 	}
@@ -1098,9 +1098,21 @@
 			t.Errorf("to %q after a failure of kind %v, of which nothing is known", to, why)
 		}
 	}
-	b.ListFresh(50000 * ms)
-	if ask(49900*ms) == "" {
-		t.Error("refused though the list is fresh again")
+	b.ListFresh(50000*ms, 0)
+	took = ask(49900 * ms)
+	if took == "" {
+		t.Fatal("refused though the list is fresh again")
+	}
+	// Where what changes counts as told only later, what took a call can be used for longer.
+	b.ListFresh(50000*ms, 6000*ms)
+	served(50100 * ms)
+	if to := ask(55800 * ms); to != took {
+		t.Errorf("to %q, want %q, which took a call 5.9 s ago", to, took)
+	}
+	b.Done(55900*ms, Outcome{Request: fmt.Sprint(serial), Result: Full, Latency: 100 * ms})
+	b.ListFresh(50000*ms, 0)
+	if to := ask(56000 * ms); to != "" {
+		t.Errorf("to %q, though what changes counts at once", to)
 	}
 }
 
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -273,9 +273,10 @@
 	d.do(func(logic.Time) { d.balancer.ListMoved() })
 }
 
-// listFresh reports until when the list holds all that counts as told.
-func (d *driver) listFresh(until time.Time) {
-	d.do(func(logic.Time) { d.balancer.ListFresh(d.clock.at(until)) })
+// listFresh reports until when the list holds all that counts as told, and how long after
+// it is made a change counts as told from then on.
+func (d *driver) listFresh(until time.Time, lag time.Duration) {
+	d.do(func(logic.Time) { d.balancer.ListFresh(d.clock.at(until), lag) })
 }
 
 // listFailed reports that asking for the list has failed.
