Attach: one trial in sum over the fleet, not one by each balancer within a second

Seen in the fleet test: a backend attached by hand at thirty proxies gets 27 calls in 1.5 s, 12.7 being the most; with 150 of unlike traffic 48 of 13.8, with thin traffic 14 of 5.5. Cause: Attach sets a spacing of 0 and ejected 1 with a trial within the first ejection's time, at each balancer (the two lines in Attach). Change: one by lot among Balancers, one in sum, makes that trial; at the others the return is a cold start like any, its first call after a random part of the spacing. With one balancer it is as before: the tests of Attach pass.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -499,8 +499,7 @@
 	if started == 0 || set.WarmWithin == 0 || now-started >= set.WarmWithin {
 		return 1
 	}
-	age := max(0, float64(now-started)/float64(set.WarmWithin))
-	return max(0.01, set.ColdShare+(1-set.ColdShare)*age)
+	return max(0.01, set.ColdShare+(1-set.ColdShare)*max(0, float64(now-started)/float64(set.WarmWithin)))
 }
 
 // Done takes the end of an attempt; each attempt has exactly one.
@@ -784,12 +783,13 @@
 	b.act.CloseIdle(id)
 }
 
-// Attach ends that. The return is a cold start, whatever the list knows of it. A trial brings it back soon:
-// guards against the first of the spaced calls, which may be long in coming, and an ejection from before.
+// Attach ends that. The return is a cold start, whatever the list knows of it. A trial brings it back soon,
+// one in sum over the balancers: guards against a first call that is long in coming, and against hundreds.
 func (b *Balancer) Attach(now Time, id string) {
 	if m := b.backends[id]; m != nil && b.banned[id] {
-		m.back, m.failures, m.slowness, m.paused, m.spacing = now, 0, 1, 0, 0
-		m.ejected, m.trialAt = 1, now+b.jitter(b.patience)-b.patience/2
+		m.back, m.sent, m.failures, m.slowness, m.paused = now, now, 0, 1, 0
+		m.spacing = b.rng.Float64() * one(b.rng.Float64()*float64(b.set.Balancers) >= 1)
+		m.ejected, m.trialAt = int(one(m.spacing == 0)), now+b.jitter(b.patience)-b.patience/2
 	}
 	delete(b.banned, id)
 }
