Cold backends: repeats come on top of own traffic, and earn them no larger part

Seen in the fleet test: as the other zone goes, a cold one gets 71 calls, 44.3 being the most; with seven in ten gone 42 of 32.7, half dead 55 of 48.0. Cause: try reckoned gap, which spaces cold calls, at each attempt; full backends turn calls away unseen, and repeats of those cost no retry budget, so that wanted calls treble just while the warm ones choke. Change: gap is reckoned in Arrive, where a call is let in, once a call; a call that then fits no time counts now, too. Measured, go test ./logic: runs over the bound 35 to 20, these three cases hold (7 of 9.0, 8 of 10.1, 31 of 34.7 at worst); six in ten replaced 20 of 24.3 (26 of 26.4). The shares of one newcomer and restarts of proxies are the same.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,7 +116,7 @@
 	broken        float64 // share of recent outcomes
 	lost          float64 // share of time-outs on connections that had been idle
 	failing       float64 // share of outcomes, over longer
-	lastCall      Time    // sent, or not for want of a backend
+	lastCall      Time    // that was let in
 	gap           float64 // mean time between such calls
 	saved         float64 // calls that the limit left unused lately
 	settled       Time    // when saved was reckoned
@@ -217,6 +217,7 @@
 	earned := max(1, retryShare*float64(b.patience)/max(b.gap, 1))
 	b.retryTokens = min(retryBurst, earned, b.retryTokens+retryShare)
 	if b.admit(now, q) {
+		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now // repeats come on top
 		b.try(now, q)
 	} else {
 		b.giveUp(q)
@@ -305,7 +306,6 @@
 	}
 	var to *backend
 	if len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
-		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
 		to = b.pick(now, q)
 	}
 	if to == nil {
