Cold backends: a part among all that are up, so that ejected ones' calls don't go there

Seen in the fleet test: with seven in ten draining a cold backend gets 52 calls, 28.7 being the most, all replaced at once 51 of 29.7 (150 instances 21 of 14.7). A print of the sends showed m.part 0 and a tally with parts 0: where all of a balancer's arc drains or is ejected, max(part, 0, 0)/part in tooSoon is 1, and a cold backend out of reach, meant to get as good as nothing, is spaced as the only one there is, its warmth left out. Ejected ones in the arc shrink parts in the same way. Excluded: gap, spacing and warmth were as they should be in that print. Change: tally's parts and reach count ejected backends that are up, and the least that part is held to is the size.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -394,19 +394,19 @@
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first by a random part of
 // it: guards against hundreds that learn of it together, and, as none gets over the cold part of what it
-// carries warm, in its group or, for other zones' calls, in all, against zones that return cold.
+// carries warm, in its group or, for other zones' calls, in all, against zones that return cold. Ejected ones
+// count, too: guards against the cold one that gets their calls.
 func (b *Balancer) tooSoon(now Time, m *backend) bool {
 	warmth := m.warmth(now, &b.set)
 	if warmth == 1 {
 		return false
 	}
-	part := max(m.part, 1e-9) * warmth // out of reach: as good as never
 	among := m.group.members
 	if m.Zone != b.set.Zone {
 		among = b.listed
 	}
-	t := b.tally(now, among)
-	return float64(now-m.sent) < m.spacing*b.gap*coldCaution*max(part, t.reach, t.parts/coldCaution)/part
+	t, part := b.tally(now, among), max(m.part, 1e-9)*warmth // out of reach: as good as never
+	return float64(now-m.sent) < m.spacing*b.gap*max(m.Size, t.parts, coldCaution*t.reach)/part
 }
 
 // rotate gives the call to the member whose turn is next; turns of those well above mean are lost.
@@ -472,19 +472,20 @@
 	return slices.DeleteFunc(slices.Clone(all), func(x T) bool { return !keep(x) })
 }
 
-// A tally sums up backends in use. By warm size the limit shrinks at once with a fleet that loses some.
+// A tally sums up backends in use; parts and reach, for tooSoon, those ejected, too. By warm size the limit
+// shrinks at once with a fleet that loses some.
 type tally struct{ count, calls, size, warm, parts, reach float64 }
 
 func (b *Balancer) tally(now Time, members []*backend) (t tally) {
 	for _, m := range members {
+		part, warmth := m.part*one(m.State == Up), m.warmth(now, &b.set)
+		t.parts += part
+		t.reach += part * warmth
 		if m.ejected == 0 && b.serving(now, m) {
-			warmth := m.warmth(now, &b.set)
 			t.count++
 			t.calls += float64(m.inFlight)
 			t.size += m.Size
 			t.warm += m.Size * warmth
-			t.parts += m.part
-			t.reach += m.part * warmth
 		}
 	}
 	return t
