--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,7 +116,7 @@
 	broken        float64 // share of recent outcomes
 	lost          float64 // share of time-outs on connections that had been idle
 	failing       float64 // share of outcomes, over longer
-	lastCall      Time    // sent, or not for want of a backend
+	lastCall      Time    // that was let in
 	gap           float64 // mean time between such calls
 	saved         float64 // calls that the limit left unused lately
 	settled       Time    // when saved was reckoned
@@ -294,33 +294,32 @@
 // try sends the next attempt if its full allowance fits, and else answers.
 func (b *Balancer) try(now Time, q *request) {
 	c := &b.classes[q.Class]
-	allowance, need := time.Duration(c.allowance), c.allowance
+	need := c.allowance
 	if len(q.attempts) == 0 && !b.set.Uneven && (b.set.Tier > 0 || c.Repeat == Safe) {
 		need = max(1, min(need, c.cost)) // guards against clients of little patience that get nothing
 	}
 	var to *backend
 	open := len(q.attempts) > 0 || b.admit(now, q)
 	if open && len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
-		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
+		if len(q.attempts) == 0 { // repeats come on top
+			b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
+		}
 		to = b.pick(now, q)
 	}
 	if to == nil {
 		b.giveUp(q)
 	} else {
-		b.send(now, q, to, b.timeout(now, q, allowance))
+		b.send(now, q, to)
 	}
 }
 
-// timeout is the full allowance; all that is left where no attempt could follow one that timed out.
-func (b *Balancer) timeout(now Time, q *request, allowance time.Duration) time.Duration {
-	left := q.available(now)
-	if b.classes[q.Class].Repeat == Unsafe || len(q.attempts)+1 >= b.set.MaxAttempts || 2*allowance > left {
-		return left
+// send starts an attempt. Its time-out is the full allowance; all that is left where none could follow it.
+func (b *Balancer) send(now Time, q *request, to *backend) {
+	c, timeout := &b.classes[q.Class], q.available(now)
+	allowance := time.Duration(c.allowance)
+	if c.Repeat != Unsafe && len(q.attempts)+1 < b.set.MaxAttempts && 2*allowance <= timeout {
+		timeout = allowance
 	}
-	return allowance
-}
-
-func (b *Balancer) send(now Time, q *request, to *backend, timeout time.Duration) {
 	to.sent, to.spacing = now, 1
 	to.trialOut = to.trialOut || to.ejected > 0
 	rested := b.set.Uneven && to.inFlight == 0 && to.used > 0 &&
@@ -330,7 +329,7 @@
 		b.act.CloseIdle(to.ID)
 	}
 	a := attempt{to: to, sent: now, trial: to.ejected > 0, rested: rested && !old}
-	a.short = timeout < time.Duration(b.classes[q.Class].allowance)
+	a.short = timeout < allowance
 	q.attempts = append(q.attempts, a)
 	q.out++
 	if !q.Long { // guards against slow uploads that fill the limit
@@ -379,13 +378,15 @@
 
 // allowed holds the rules alone: drains, cold backends, repeats.
 func (b *Balancer) allowed(now Time, q *request, m *backend) bool {
-	return b.serving(now, m) && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
+	return b.sure(now, m) && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
 }
 
-// serving tells whether m is in service: by the list, by hand and, where the list may lack what counts as
-// told by now, by what m did. What took a call was not drained when that was sent.
-func (b *Balancer) serving(now Time, m *backend) bool {
-	return m.State == Up && !b.banned[m.ID] && (b.stale == 0 || now < max(b.stale, m.took+max(b.lag, b.set.Grace)))
+// serving tells whether m is in service by the list and by hand.
+func (b *Balancer) serving(m *backend) bool { return m.State == Up && !b.banned[m.ID] }
+
+// sure is serving, and by what m did where the list is stale: what took a call was not drained then.
+func (b *Balancer) sure(now Time, m *backend) bool {
+	return b.serving(m) && (b.stale == 0 || now < max(b.stale, m.took+max(b.lag, b.set.Grace)))
 }
 
 // tooSoon spaces the calls to a cold backend at its part of a warm one's rate, the first by a random part of
@@ -396,13 +397,12 @@
 	if warmth == 1 {
 		return false
 	}
-	part := max(m.part, 1e-9) * warmth // out of reach: as good as never
 	among := m.group.members
 	if m.Zone != b.set.Zone {
 		among = b.listed
 	}
-	t := b.tally(now, among)
-	return float64(now-m.sent) < m.spacing*b.gap*coldCaution*max(part, t.reach, t.parts/coldCaution)/part
+	t, part := b.tally(now, among), max(m.part, 1e-9)*warmth // out of reach: as good as never
+	return float64(now-m.sent) < m.spacing*b.gap*max(m.Size, t.parts, coldCaution*t.reach)/part
 }
 
 // rotate gives the call to the member whose turn is next; turns of those well above mean are lost.
@@ -468,19 +468,19 @@
 	return slices.DeleteFunc(slices.Clone(all), func(x T) bool { return !keep(x) })
 }
 
-// A tally sums up backends in use. By warm size the limit shrinks at once with a fleet that loses some.
+// A tally sums up backends in use: the limit shrinks with them. Ejected ones keep their parts from the cold.
 type tally struct{ count, calls, size, warm, parts, reach float64 }
 
 func (b *Balancer) tally(now Time, members []*backend) (t tally) {
 	for _, m := range members {
-		if m.ejected == 0 && b.serving(now, m) {
-			warmth := m.warmth(now, &b.set)
+		part, warmth := m.part*one(m.State == Up), m.warmth(now, &b.set)
+		t.parts += part
+		t.reach += part * warmth
+		if m.ejected == 0 && b.serving(m) {
 			t.count++
 			t.calls += float64(m.inFlight)
 			t.size += m.Size
 			t.warm += m.Size * warmth
-			t.parts += m.part
-			t.reach += m.part * warmth
 		}
 	}
 	return t
@@ -495,8 +495,7 @@
 	if started == 0 || set.WarmWithin == 0 || now-started >= set.WarmWithin {
 		return 1
 	}
-	age := max(0, float64(now-started)/float64(set.WarmWithin))
-	return max(0.01, set.ColdShare+(1-set.ColdShare)*age)
+	return max(0.01, set.ColdShare+(1-set.ColdShare)*max(0, float64(now-started)/float64(set.WarmWithin)))
 }
 
 // Done takes the end of an attempt; each attempt has exactly one.
@@ -530,7 +529,7 @@
 	}
 	a := &q.attempts[len(q.attempts)-1]
 	a.notRun = true // till then
-	a.notRun = a.to.gone || a.sent < a.to.back || !b.serving(now, a.to) || !b.mayRepeat(now, q, a.to)
+	a.notRun = a.to.gone || a.sent < a.to.back || !b.sure(now, a.to) || !b.mayRepeat(now, q, a.to)
 	return !a.notRun
 }
 
@@ -791,12 +790,13 @@
 	b.act.CloseIdle(id)
 }
 
-// Attach ends that. The return is a cold start, whatever the list knows of it. A trial brings it back soon:
-// guards against the first of the spaced calls, which may be long in coming, and an ejection from before.
+// Attach ends that. The return is a cold start, whatever the list knows of it. A trial brings it back soon,
+// one in sum over the balancers: guards against a first call that is long in coming, and against hundreds.
 func (b *Balancer) Attach(now Time, id string) {
 	if m := b.backends[id]; m != nil && b.banned[id] {
-		m.back, m.failures, m.slowness, m.paused, m.spacing = now, 0, 1, 0, 0
-		m.ejected, m.trialAt = 1, now+b.jitter(b.patience)-b.patience/2
+		m.back, m.sent, m.failures, m.slowness, m.paused = now, now, 0, 1, 0
+		m.spacing = b.rng.Float64() * one(b.rng.Float64()*float64(b.set.Balancers) >= 1)
+		m.ejected, m.trialAt = int(one(m.spacing == 0)), now+b.jitter(b.patience)-b.patience/2
 	}
 	delete(b.banned, id)
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -475,8 +475,10 @@
 		{"the client left", safe, false, func(b *Balancer) { b.Gone(100*ms, "r") }, false},
 		{"this balancer ends", safe, false, func(b *Balancer) { b.End("r") }, false},
 		{"a repeat in time", keyed, true, func(*Balancer) {}, true},
-		{"a repeat after the memory for it", keyed, true, func(b *Balancer) { b.classes[keyed].Memory = 200 * ms }, false},
-		{"a safe repeat has no such end", safe, true, func(b *Balancer) { b.classes[safe].Memory = 200 * ms }, true},
+		{"a repeat after the memory for it", keyed, true,
+			func(b *Balancer) { b.classes[keyed].Memory = 200 * ms }, false},
+		{"a safe repeat has no such end", safe, true,
+			func(b *Balancer) { b.classes[safe].Memory = 200 * ms }, true},
 	} {
 		b, f := start(testSettings(), line("b", 1))
 		b.allow(c.class, 100*ms)
