Answers without a length: no reset passes for an end, told to a write or with the last bytes

Cause: the kernel tells a reset once. Where it was told to the write of a long request that was still coming, the reader then saw an end, and an answer without a length was served as whole, cut off wherever it was. The same would be lost with a reader that gives its error together with bytes. A reset that was here when the time for a first part was up was found out only once that part had been passed on. And the reader of a body without a length set its connection a time of its own over the one that had ended it: an attempt that was given up went on to its deadline.

Change: after a write that broke, a 200 that ends with its connection is none; fill keeps an error that comes with bytes; before a first part is handed on, a look tells whether the end is here; ReadResponse takes the context that may end it. Empty lines between messages count as one from 1 KiB on: they were read for as long as they came.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -55,6 +56,7 @@
 	start int // of what is not used up
 	pos   int // how far the parser has read
 	end   int // of what has come
+	empty int // bytes of empty lines since the last message
 	err   error
 	watch chan struct{} // closed when the watch is over
 
@@ -123,6 +125,10 @@
 	n, err := c.Conn.Read(c.buf[c.end:])
 	c.end += n
 	if n > 0 {
+		// A reset may come with the last bytes and be told this once.
+		if err != nil && !TimedOut(err) {
+			c.err = err
+		}
 		return nil
 	}
 	return err
@@ -186,7 +192,7 @@
 	if err := c.head(request); err != nil {
 		return nil, nil, err
 	}
-	c.pos, c.body = c.start, 0
+	c.pos, c.body, c.empty = c.start, 0, 0
 	br := readers.Get().(*bufio.Reader)
 	br.Reset(source{c})
 	p, err := read(br)
@@ -298,7 +304,7 @@
 				return part{}, c.err
 			}
 		}
-		return c.readBody(br, req.Body, req.ContentLength, time.Time{})
+		return c.readBody(context.Background(), br, req.Body, req.ContentLength, time.Time{})
 	})
 	return req, body, rest, err
 }
@@ -314,7 +320,13 @@
 // ReadResponse reads the final answer to a request and its body, the first part of a
 // long one, before deadline. One that says no length lasts as long as its connection: a
 // clean end is its end, a reset is not; with nothing in it, it was cut off.
-func (c *Conn) ReadResponse(deadline time.Time) (resp *http.Response, body []byte, rest *Rest, err error) {
+//
+// What is to end it early closes ctx first, then sets the connection a deadline that has
+// passed: that one may be overwritten here or just before, ctx can't.
+func (c *Conn) ReadResponse(ctx context.Context, deadline time.Time) (resp *http.Response, body []byte, rest *Rest, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, nil, nil, err
+	}
 	for range mostInterim {
 		body, rest, err = c.parse(false, func(br *bufio.Reader) (part, error) {
 			if resp, err = http.ReadResponse(br, nil); err != nil {
@@ -329,8 +341,8 @@
 			if resp.StatusCode != http.StatusOK { // not worth passing on in parts
 				deadline = time.Time{}
 			}
-			p, err := c.readBody(br, resp.Body, resp.ContentLength, deadline)
-			if err == nil && len(p.body) == 0 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			p, err := c.readBody(ctx, br, resp.Body, resp.ContentLength, deadline)
+			if err == nil && len(p.body) == 0 && Unbounded(resp) {
 				return part{}, errors.New("neither length nor body")
 			}
 			return p, err
@@ -342,11 +354,16 @@
 	return nil, nil, nil, malformed("no final answer")
 }
 
+// Unbounded tells whether an answer says no length, and ends with its connection.
+func Unbounded(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // readBody reads the body that r parses from br: whole up to MaxBody, else its first
 // part. One of known length gets its memory once all of it is in the buffer: a crowd
 // may tell a length and send little. One without a length ends its first part early
 // where a deadline is given and it takes long; the deadline is in force on return.
-func (c *Conn) readBody(br *bufio.Reader, r io.Reader, length int64, deadline time.Time) (part, error) {
+func (c *Conn) readBody(ctx context.Context, br *bufio.Reader, r io.Reader, length int64, deadline time.Time) (part, error) {
 	switch {
 	case length > MaxStream:
 		return part{}, ErrBodyTooLarge
@@ -371,9 +388,18 @@
 		if !deadline.IsZero() && br.Buffered() == 0 && c.pos == c.end && until.Before(deadline) {
 			c.start = c.pos
 			c.SetReadDeadline(until)
-			err := c.fill()
+			var err error
+			if ctx.Err() == nil {
+				err = c.fill()
+			}
 			c.SetReadDeadline(deadline)
-			if TimedOut(err) && !time.Now().Before(until) && len(body) > 0 {
+			if ctx.Err() != nil {
+				c.err = ctx.Err()
+				return part{}, c.err
+			}
+			// Where its end is here already, it is no first part: a reset must not be
+			// found out only once a part has been passed on.
+			if TimedOut(err) && !time.Now().Before(until) && len(body) > 0 && !c.PeerClosed() {
 				return part{body: body, from: r, size: -1}, nil
 			}
 			// A reset is told once, and then looks like an end.
@@ -421,10 +447,15 @@
 	return err == nil && n > 0
 }
 
+// mostEmpty is how many bytes of empty lines may come between messages. What comes
+// beyond counts as a message, and is malformed: guards against reading them without end.
+const mostEmpty = 1 << 10
+
 // skipEmpty passes over what has come of empty lines.
 func (c *Conn) skipEmpty() {
-	for c.start < c.end && (c.buf[c.start] == '\r' || c.buf[c.start] == '\n') {
+	for c.start < c.end && c.empty < mostEmpty && (c.buf[c.start] == '\r' || c.buf[c.start] == '\n') {
 		c.start++
+		c.empty++
 	}
 }
 
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -178,7 +179,7 @@
 		{"breaks in the body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", "", 0, false, io.ErrUnexpectedEOF},
 		{"garbage", "SSH-2.0-x\r\n\r\n", "", 0, false, ErrMalformed},
 	} {
-		resp, body, _, err := NewConn(split(c.text, len(c.text)/2)).ReadResponse(time.Time{})
+		resp, body, _, err := NewConn(split(c.text, len(c.text)/2)).ReadResponse(context.Background(), time.Time{})
 		if !errors.Is(err, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
 		}
@@ -351,8 +352,8 @@
 		if at < 0 || at > len(text) {
 			at = len(text)
 		}
-		r1, b1, _, err1 := NewConn(split(string(text))).ReadResponse(time.Time{})
-		r2, b2, _, err2 := NewConn(split(string(text), at)).ReadResponse(time.Time{})
+		r1, b1, _, err1 := NewConn(split(string(text))).ReadResponse(context.Background(), time.Time{})
+		r2, b2, _, err2 := NewConn(split(string(text), at)).ReadResponse(context.Background(), time.Time{})
 		if (err1 == nil) != (err2 == nil) || !bytes.Equal(b1, b2) {
 			t.Fatalf("whole: %q %v, cut at %d: %q %v", b1, err1, at, b2, err2)
 		}
--- /dev/null
+++ b/internal/upstream/ends_test.go
@@ -0,0 +1,160 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/http1"
+	"oxbowloft/internal/standin"
+)
+
+// upload is a client's connection with a long request. Of its body it gives so much,
+// then waits for more or for the end of its time, and tells of each interruption.
+type upload struct {
+	net.Conn
+	text        string // what is left to give
+	endless     bool   // gives x without end after it
+	interrupted chan bool
+	once        sync.Once
+}
+
+func (u *upload) Read(b []byte) (int, error) {
+	if u.text != "" {
+		n := copy(b, u.text)
+		u.text = u.text[n:]
+		return n, nil
+	}
+	if u.endless {
+		return copy(b, strings.Repeat("x", len(b))), nil
+	}
+	<-u.interrupted
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (u *upload) SetReadDeadline(t time.Time) error {
+	if t.Equal(time.Unix(1, 0)) {
+		u.once.Do(func() { close(u.interrupted) })
+	}
+	return nil
+}
+
+// uploading is an exchange's request with a rest that comes from u.
+func uploading(t *testing.T, endless bool) (*upload, *Request) {
+	t.Helper()
+	u := &upload{endless: endless, interrupted: make(chan bool),
+		text: "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 30000000\r\n\r\nfirst part"}
+	_, first, rest, err := http1.NewConn(u).ReadRequest()
+	if err != nil || rest == nil {
+		t.Fatal(rest, err)
+	}
+	t.Cleanup(rest.Drop)
+	return u, &Request{
+		Text: func(time.Duration) []byte {
+			return append([]byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 30000000\r\n\r\n"), first...)
+		},
+		Rest: rest, Transfers: http1.NewTransfers(1), Timeout: time.Minute,
+	}
+}
+
+// got is what an exchange comes to; it fails the test where that takes for ever.
+func got(t *testing.T, b *Backend, ctx context.Context, req *Request) Answer {
+	t.Helper()
+	done := make(chan Answer, 1)
+	go func() { done <- b.Exchange(ctx, req) }()
+	select {
+	case a := <-done:
+		return a
+	case <-time.After(20 * time.Second):
+		t.Fatal("goes on")
+		return Answer{}
+	}
+}
+
+// writeWaits tells whether a write in this process waits for its reader.
+func writeWaits() bool {
+	stacks := make([]byte, 1<<20)
+	return strings.Contains(string(stacks[:runtime.Stack(stacks, true)]), "internal/poll.(*pollDesc).waitWrite")
+}
+
+// Guards against an answer without a length that is served though it was cut off: its
+// reset is told once, here to the write of the request that was still coming, and the
+// reader then sees an end.
+func TestResetToldToTheWrite(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, c := range []struct {
+		name, text string
+		status     int // 0: it is no answer
+	}{
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nhalf of an ans", 0},
+		{"no length, 1.0", "HTTP/1.0 200 OK\r\n\r\nhalf of an ans", 0},
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", 200},
+		{"length, cut off", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole", 0},
+		{"refused", "HTTP/1.1 413 Large\r\n\r\nno", 413},
+	} {
+		opt, s := options(5)
+		var a Answer
+		for { // until the answer has found a write that stands still
+			u, req := uploading(t, true)
+			var far sync.WaitGroup
+			far.Go(func() {
+				nc, err := ln.Accept()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				standin.Eventually(t, 10*time.Second, "the write stands still", writeWaits)
+				io.WriteString(nc, c.text)
+				<-u.interrupted // the answer has been seen; the reset has not
+				nc.(*net.TCPConn).SetLinger(0)
+				nc.Close()
+			})
+			a = got(t, New(ln.Addr().String(), opt), soon(t), req)
+			far.Wait()
+			if !errors.Is(a.Err, errEarly) {
+				break
+			}
+		}
+		want := Answered
+		if c.status == 0 {
+			want = Unopened
+		}
+		if a.Stage != want || a.Status != c.status || a.Source != nil || s.free.Load() != 5 {
+			t.Errorf("%s: got %+v %q, %d descriptors", c.name, a, a.Body, s.free.Load())
+		}
+	}
+}
+
+// What fails never tells a caller that it may be sent again where it may have run: an
+// exchange that was written whole is Written or Answered, however its answer ends.
+func TestNoFaultLooksUnsent(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, text := range []string{
+		"", "H", "HTTP/1.1 2", head, head + "\r\n", head + "\r\nhalf", head + "Content-Length: 9\r\n\r\nhalf",
+		head + "Transfer-Encoding: chunked\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n4",
+		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nha", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX-T: 1\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n", "noise", "HTTP/1.1 200 OK\nContent-Length: 1\n\n1",
+	} {
+		opt, s := options(5)
+		b := New(standin.NewBackend(t, func(c *standin.Call) { c.Raw(text); c.Reset() }).Addr(), opt)
+		a := got(t, b, soon(t), &Request{Text: get, Timeout: time.Minute})
+		if a.Err == nil || a.Stage < Written || a.Status != 0 {
+			t.Errorf("%q: got %+v", text, a)
+		}
+		if b.Idle() != 0 || s.free.Load() != 5 {
+			t.Errorf("%q: %d idle, %d descriptors", text, b.Idle(), s.free.Load())
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -143,11 +143,16 @@
 			}
 			deadline = time.Now().Add(req.Timeout)
 			c.SetDeadline(deadline)
-			resp, body, rest, readErr := c.ReadResponse(deadline)
+			resp, body, rest, readErr := c.ReadResponse(ctx, deadline)
 			b.discard(c)
 			if readErr != nil || rest != nil {
 				return Answer{Stage: Unopened, Err: err}
 			}
+			// A reset is told once, and the write has heard it: what ends with its
+			// connection now looks whole, wherever it was cut off.
+			if resp.StatusCode == http.StatusOK && http1.Unbounded(resp) && errors.Is(err, http1.ErrPassed) {
+				return Answer{Stage: Unopened, Err: err}
+			}
 			return Answer{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
 		case err != nil:
 			b.discard(c)
@@ -164,7 +169,7 @@
 	if req.Written != nil {
 		req.Written()
 	}
-	resp, body, rest, err := c.ReadResponse(deadline)
+	resp, body, rest, err := c.ReadResponse(ctx, deadline)
 	if err != nil {
 		b.discard(c)
 		stage := Written
