upstream: a late answer is not taken for an upload's, and an upload given up ends at once

Cause: an upload may take seconds. A second answer that came late on a reused connection was taken for one to the request that was still being sent, and served. And where such an attempt was given up (limits.cancel, or the end of a drain), nothing ended it: the transfer set its deadlines anew, and a sender that gave nothing was waited for.

Change: a 200 ahead of the request's last byte is an error on a connection that has carried another message; on a new one it counts as before. The end of the context interrupts the rest of the request, and ends the transfer at its next write.

Seen to fail without: TestStaleAnswerDuringAnUpload, TestUploadGivenUp (went on for 20 s, then cut off). The look at the context behind a write's deadline has no test of its own: without it a write that stands still ends after 5 s instead of at once. go test -race of internal/http1, internal/upstream and proxy passed.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -57,8 +57,10 @@
 	pos   int // how far the parser has read
 	end   int // of what has come
 	empty int // bytes of empty lines since the last message
-	err   error
-	watch chan struct{} // closed when the watch is over
+
+	carried bool
+	err     error
+	watch   chan struct{} // closed when the watch is over
 
 	// Pace, if set, is called before each read of a body with what has come of it, to
 	// set the time that the read may take.
@@ -77,6 +79,9 @@
 	return c
 }
 
+// Carried tells whether a message has been read from the connection.
+func (c *Conn) Carried() bool { return c.carried }
+
 // Buffered is the number of bytes that have come and are not used up.
 func (c *Conn) Buffered() int { return c.end - c.start }
 
@@ -196,6 +201,7 @@
 	br := readers.Get().(*bufio.Reader)
 	br.Reset(source{c})
 	p, err := read(br)
+	c.carried = c.carried || err == nil
 	if err == nil && !p.whole {
 		c.body = int64(len(p.body))
 		return p.body, &Rest{c: c, br: br, from: p.from, Size: p.size, came: c.body, over: p.over}, nil
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -136,6 +136,103 @@
 	}
 }
 
+// Guards against what is late of an older answer taken for one to a request that is
+// still being sent: on a connection that has carried another, a 200 that comes ahead of
+// the request's end is not ours. A new connection has no older answer.
+func TestStaleAnswerDuringAnUpload(t *testing.T) {
+	for _, reused := range []bool{true, false} {
+		_, req := uploading(t, false)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var far sync.WaitGroup
+		far.Go(func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			buf := make([]byte, 1<<10)
+			if reused {
+				nc.Read(buf)
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+			}
+			nc.Read(buf) // the first part is here
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+			io.Copy(io.Discard, nc)
+		})
+		opt, s := options(5)
+		b := New(ln.Addr().String(), opt)
+		if reused {
+			if a := b.Exchange(timed(soon(t), get)); a.Status != 200 || len(b.idle) != 1 {
+				t.Fatalf("got %+v", a)
+			}
+			b.idle[0].since = time.Now().Add(-time.Hour)
+		}
+		a := got(t, b, soon(t), req)
+		if n := opt.Opened.Load(); n != 1 {
+			t.Errorf("%d connections", n)
+		}
+		if reused && (a.Stage != Answered || a.Err == nil || a.Status != 0) || !reused && (a.Status != 200 || a.Err != nil) {
+			t.Errorf("reused %t: got %+v", reused, a)
+		}
+		b.Close()
+		ln.Close()
+		far.Wait()
+		if n := s.free.Load(); n != 5 {
+			t.Errorf("%d of 5 descriptors given back", n)
+		}
+	}
+}
+
+// An upload that is given up ends at once, wherever it stands: with a sender that gives
+// nothing more, and with a backend that takes nothing more.
+func TestUploadGivenUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, endless := range []bool{false, true} {
+		_, req := uploading(t, endless)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var far sync.WaitGroup
+		far.Go(func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			io.ReadFull(nc, make([]byte, 60)) // it has begun
+			cancel()
+			<-ctx.Done()
+			if !endless {
+				io.Copy(io.Discard, nc)
+			} else {
+				nc.SetReadDeadline(time.Now().Add(time.Minute))
+				for { // a byte at a time: no transfer ends for it soon
+					if _, err := io.ReadFull(nc, make([]byte, 1)); err != nil {
+						return
+					}
+				}
+			}
+		})
+		opt, s := options(5)
+		a := got(t, New(ln.Addr().String(), opt), ctx, req)
+		if !errors.Is(a.Err, context.Canceled) || a.Stage != Unopened || a.Source != nil || s.free.Load() != 5 {
+			t.Errorf("endless %t: got %+v, %d descriptors", endless, a, s.free.Load())
+		}
+		far.Wait()
+		if n, err := req.Rest.Read(make([]byte, 1)); errors.Is(err, http1.ErrInterrupted) {
+			t.Errorf("the rest is left interrupted: %d, %v", n, err)
+		}
+	}
+}
+
 // What fails never tells a caller that it may be sent again where it may have run: an
 // exchange that was written whole is Written or Answered, however its answer ends.
 func TestNoFaultLooksUnsent(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -134,8 +134,12 @@
 		return Answer{Stage: Unopened, Err: err}
 	}
 	if req.Rest != nil {
-		err := passRest(c, req)
+		carried := c.Carried()
+		err := passRest(ctx, c, req)
 		switch {
+		case err != nil && ctx.Err() != nil:
+			b.discard(c)
+			return Answer{Stage: Unopened, Err: ctx.Err()}
 		case errors.Is(err, errEarly), errors.Is(err, http1.ErrPassed):
 			// It said no before the end, or broke: what it said counts.
 			if errors.Is(err, http1.ErrPassed) {
@@ -148,6 +152,11 @@
 			if readErr != nil || rest != nil {
 				return Answer{Stage: Unopened, Err: err}
 			}
+			// Guards against what is late of an older answer: a backend begins at the
+			// request's last byte, and may have begun nothing.
+			if resp.StatusCode == http.StatusOK && carried {
+				return Answer{Stage: Answered, Err: errEarly}
+			}
 			// A reset is told once, and the write has heard it: what ends with its
 			// connection now looks whole, wherever it was cut off.
 			if resp.StatusCode == http.StatusOK && http1.Unbounded(resp) && errors.Is(err, http1.ErrPassed) {
@@ -204,8 +213,9 @@
 }
 
 // passRest sends the rest of a long request on as it comes. An answer that comes
-// meanwhile ends it: the backend has said no.
-func passRest(c *http1.Conn, req *Request) error {
+// meanwhile ends it, since the backend has said no; so does the end of ctx, wherever the
+// transfer stands.
+func passRest(ctx context.Context, c *http1.Conn, req *Request) error {
 	c.SetReadDeadline(time.Time{})
 	var answered atomic.Bool
 	said := func() {
@@ -213,20 +223,29 @@
 		req.Rest.Interrupt() // the sender may be slow, or wait for the answer
 	}
 	c.Watch(said, said)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		req.Rest.Interrupt()
+		close(interrupted)
+	})
 	within := Progress(c.SetWriteDeadline)
 	err := req.Transfers.Pass(c, req.Rest, false, func(passed int64) error {
 		if answered.Load() {
 			return errEarly
 		}
 		within(passed)
-		return nil
+		return ctx.Err() // looked at last: the deadline that ends it may just have been overwritten
 	})
 	c.Unwatch()
-	if answered.Load() {
+	givenUp := !stop()
+	if givenUp {
+		<-interrupted
+	}
+	if givenUp || answered.Load() {
 		req.Rest.Resume()
-		if errors.Is(err, http1.ErrInterrupted) {
-			err = errEarly
-		}
+	}
+	if answered.Load() && errors.Is(err, http1.ErrInterrupted) {
+		err = errEarly
 	}
 	return err
 }
