http1: what comes behind a request is judged alike wherever the buffer ends

Cause: empty lines behind a request are passed over, but only in the buffer. Where it ended with the request (2,048 bytes, say), the kernel still had them, and the request was turned away as one that sends on. An error that comes with the last bytes made a malformed message one that was cut off. A method that came byte by byte was judged anew from its start with each.

Change: More reads what the kernel has while it is empty lines. Such an error is told behind its bytes. A method is judged as it comes.

Seen to fail without: TestMoreBehindAFullBuffer, TestRequestsThatEndBadly; the method has no test of its own. TestWatchStopsAtAnyTime and TestFloodCostsLittle found no fault; they fail where Unwatch leaves its deadline, and where empty lines have no bound. go test -race of internal/http1, internal/upstream and proxy passed.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -53,10 +54,11 @@
 	net.Conn
 	raw   syscall.RawConn
 	buf   []byte
-	start int // of what is not used up
-	pos   int // how far the parser has read
-	end   int // of what has come
-	empty int // bytes of empty lines since the last message
+	start int   // of what is not used up
+	pos   int   // how far the parser has read
+	end   int   // of what has come
+	late  error // came with bytes, and is told behind them
+	empty int   // bytes of empty lines since the last message
 
 	carried bool
 	err     error
@@ -102,8 +104,8 @@
 // fill reads once from the connection into the buffer, which holds no more than
 // the largest message.
 func (c *Conn) fill() error {
-	if c.err != nil {
-		return c.err
+	if err := cmp.Or(c.err, c.late); err != nil {
+		return err
 	}
 	if c.start == c.end {
 		c.start, c.pos, c.end = 0, 0, 0
@@ -132,7 +134,7 @@
 	if n > 0 {
 		// A reset may come with the last bytes and be told this once.
 		if err != nil && !TimedOut(err) {
-			c.err = err
+			c.late = err
 		}
 		return nil
 	}
@@ -443,14 +445,20 @@
 }
 
 // More tells whether something has come behind the message that was read, but for
-// the empty lines that some senders put there.
+// the empty lines that some senders put there, in the buffer or not read yet.
 func (c *Conn) More() bool {
-	c.skipEmpty()
-	if c.Buffered() > 0 {
-		return true
+	for {
+		c.skipEmpty()
+		if c.Buffered() > 0 {
+			return true
+		}
+		if n, err := c.peek(); n == 0 || err != nil {
+			return false
+		}
+		if c.fill() != nil { // what is there can't be read any more
+			return true
+		}
 	}
-	n, err := c.peek()
-	return err == nil && n > 0
 }
 
 // mostEmpty is how many bytes of empty lines may come between messages. What comes
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -14,6 +14,7 @@
 	done    int  // bytes of whole lines, judged
 	seen    int  // bytes in which no further line ends
 	lines   int
+	method  int // bytes of the first line's method, judged
 
 	hosts, lengths, codings int
 }
@@ -73,8 +74,9 @@
 		}
 		return nil
 	}
-	for i, b := range text {
-		if b == ' ' && i > 0 {
+	for ; h.method < len(text); h.method++ { // each byte once, however small the pieces
+		b := text[h.method]
+		if b == ' ' && h.method > 0 {
 			return nil
 		}
 		if !tokenByte(b) {
