Tests: the driver and the whole proxy under changes of the list, until the end

Lists at random, moved sources, bans, ends and callers that leave, against requests under way: no send without a backend, no request without its next step, nothing left, no wrong answer. The room of a call's steps is enough for an end and a leaving at once: no more than two wait, as a watch tells once. No fault was found in the driver.

Seen to fail where the module learns of a list after the driver has let its backends go (a send without a backend), and with room for one step (the driver stands still).

--- /dev/null
+++ b/proxy/race_test.go
@@ -0,0 +1,297 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/standin"
+	"oxbowloft/logic"
+)
+
+// randomList is news of up to eight backends, some at other addresses than before, some
+// named twice in one list.
+func randomList(t *testing.T, r *rand.Rand, rev int) *discovery.List {
+	var lines []string
+	for range 1 + r.IntN(10) {
+		state := []string{"in_service", "in_service", "in_service", "terminating", "terminated"}[r.IntN(5)]
+		lines = append(lines, standin.TargetIn(state, fmt.Sprintf("s-%d", r.IntN(8)), fmt.Sprintf("127.0.0.1:%d", 1+r.IntN(3))))
+	}
+	l, err := discovery.Parse([]byte(standin.List(rev, r.IntN(3) == 0, lines...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// Whatever the list, the operators and the end do while requests are under way: a send has
+// a backend, each request gets to an end, none waits for a step that never comes, and what
+// is told of one request at a time never holds up the rest.
+func TestDriverUnderChange(t *testing.T) {
+	p := listening(t, standin.List(1, true, standin.Target("s-1", "127.0.0.1:1")), "127.0.0.1:1")
+	defer p.listener.Close()
+	d := p.driver
+	var callers, news sync.WaitGroup
+	over := make(chan bool)
+	for n := range 8 {
+		callers.Go(func() {
+			r := rand.New(rand.NewPCG(1, uint64(n)))
+			for i := range 150 {
+				var leaves sync.WaitGroup
+				c := d.arrive(fmt.Sprintf("%d-%d", n, i), r.IntN(3), 300*time.Millisecond, false, r.IntN(4) == 0)
+				left, open := false, true
+				for open {
+					var s step
+					select {
+					case s = <-c.steps:
+					case <-time.After(20 * time.Second):
+						t.Error("no step comes")
+						open = false
+						continue
+					}
+					if s.kind != stepSend {
+						open = false
+						break
+					}
+					if s.to == nil {
+						t.Error("a send without a backend")
+					}
+					if !left && r.IntN(4) == 0 { // at most once, as of a watch
+						left = true
+						leaves.Go(func() {
+							if n%2 == 0 {
+								d.gone(c)
+							} else {
+								d.ahead(c)
+							}
+						})
+					}
+					results := []logic.Result{logic.OK, logic.OK, logic.OK, logic.Error, logic.Full, logic.NoConnect,
+						logic.Broken, logic.TimedOut, logic.NeverSent, logic.Cancelled}
+					result := results[r.IntN(len(results))]
+					if s.ctx.Err() != nil {
+						result = logic.Cancelled
+					}
+					s.cancel()
+					final := result == logic.OK
+					d.written(c)
+					d.done(c, s, result, final, r.IntN(8) == 0)
+					open = !final
+				}
+				leaves.Wait()
+				d.forget(c)
+			}
+		})
+	}
+	news.Go(func() {
+		r := rand.New(rand.NewPCG(2, 2))
+		for rev := 2; ; rev++ {
+			select {
+			case <-over:
+				return
+			default:
+			}
+			d.list(randomList(t, r, rev))
+			switch r.IntN(12) {
+			case 0:
+				d.listMoved()
+			case 1:
+				d.listFailed(discovery.Silent, time.Now())
+			case 2:
+				d.byHand(fmt.Sprintf("s-%d", r.IntN(8)), r.IntN(2) == 0)
+			case 3:
+				d.end()
+			case 4:
+				for _, b := range d.all() {
+					b.Reap(time.Now())
+				}
+			}
+			d.listed()
+		}
+	})
+	callers.Wait()
+	close(over)
+	news.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.calls)+len(d.open) > 0 {
+		t.Errorf("%d calls and %d ids are left", len(d.calls), len(d.open))
+	}
+}
+
+// A step of the module's, its end and its caller's going, all at once and with nobody to
+// take them yet, find room: one that had to wait would hold the driver's lock.
+func TestStepsHaveRoom(t *testing.T) {
+	for name, tell := range map[string][]func(*driver, *call){
+		"end, gone":  {func(d *driver, _ *call) { d.end() }, (*driver).gone},
+		"gone, end":  {(*driver).gone, func(d *driver, _ *call) { d.end() }},
+		"end, ahead": {func(d *driver, _ *call) { d.end() }, (*driver).ahead},
+	} {
+		p := listening(t, standin.List(1, true, standin.Target("s-1", "127.0.0.1:1")), "127.0.0.1:1")
+		d := p.driver
+		c := d.arrive("1", 0, time.Hour, false, false)
+		s := <-c.steps // the attempt is out: the caller is watched from here on
+		done := make(chan bool)
+		go func() {
+			defer close(done)
+			for _, f := range tell {
+				f(d, c)
+			}
+			d.done(c, s, logic.Broken, false, false)
+			d.end()
+		}()
+		select {
+		case <-done:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s: the driver stands still", name)
+		}
+		if n := len(c.steps); n == 0 || n > 2 {
+			t.Errorf("%s: %d steps", name, n)
+		}
+		s.cancel()
+		d.forget(c)
+		p.listener.Close()
+	}
+}
+
+// The whole proxy under changes of the list and of where it comes from, with callers that
+// leave, send on or say half, until its end in the midst of them: it ends, each answer is
+// that of its request, and nothing is left.
+func TestChangesUntilTheEnd(t *testing.T) {
+	reply := func(c *standin.Call) {
+		if c.N%7 == 0 {
+			c.Reset()
+			return
+		}
+		c.Reply(200, c.Header.Get("X-Request-Id"))
+	}
+	var fleet []*standin.Backend
+	for range 4 {
+		fleet = append(fleet, standin.NewBackend(t, reply))
+	}
+	target := func(r *rand.Rand) string {
+		state := []string{"in_service", "in_service", "terminating", "terminated"}[r.IntN(4)]
+		return standin.TargetIn(state, fmt.Sprintf("s-%d", r.IntN(6)), fleet[r.IntN(len(fleet))].Addr())
+	}
+	known := standin.List(1, true, standin.Target("s-0", fleet[0].Addr()), standin.Target("s-1", fleet[1].Addr()))
+	places := []*standin.Discovery{standin.NewDiscovery(t, known), standin.NewDiscovery(t, known)}
+	p := listening(t, known, places[0].Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	eventually(t, "ready", p.Ready)
+
+	var callers, news sync.WaitGroup
+	var served atomic.Int64
+	over := make(chan bool)
+	news.Go(func() {
+		r := rand.New(rand.NewPCG(3, 3))
+		for rev := 2; ; rev++ {
+			select {
+			case <-over:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			at := places[r.IntN(2)]
+			switch r.IntN(10) {
+			case 0:
+				cfg := *p.cfg
+				cfg.Discovery = at.Addr()
+				if err := p.Reload(&cfg); err != nil {
+					t.Error(err)
+				}
+			case 1:
+				at.Break()
+			case 2:
+				p.driver.byHand("s-0", r.IntN(2) == 0)
+			case 3:
+				fleet[r.IntN(len(fleet))].Cut()
+			default:
+				l, err := discovery.Parse([]byte(standin.List(rev, r.IntN(4) == 0, target(r), target(r), target(r))))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				p.driver.list(l)
+			}
+		}
+	})
+	for n := range 12 {
+		callers.Go(func() {
+			r := rand.New(rand.NewPCG(4, uint64(n)))
+			var c net.Conn
+			defer func() {
+				if c != nil {
+					c.Close()
+				}
+			}()
+			for i := 0; ; i++ {
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", p.Addr().String()); err != nil {
+						return // it has ended
+					}
+					c.SetDeadline(time.Now().Add(20 * time.Second))
+				}
+				id := fmt.Sprintf("%d-%d", n, i)
+				ask := strings.Replace(text([]string{"get", "put", "pay"}[r.IntN(3)], 500), "X-Request-ID: 1", "X-Request-ID: "+id, 1)
+				drop := true
+				switch r.IntN(10) {
+				case 0:
+					io.WriteString(c, ask[:r.IntN(len(ask))])
+				case 1:
+					io.WriteString(c, ask)
+				case 2:
+					io.WriteString(c, ask+ask)
+				default:
+					io.WriteString(c, ask)
+					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil {
+						break
+					}
+					body, err := io.ReadAll(resp.Body)
+					if resp.StatusCode == 200 && (err != nil || string(body) != id) {
+						t.Errorf("%s got %q, %v", id, body, err)
+					}
+					if resp.StatusCode == 200 {
+						served.Add(1)
+					}
+					drop = resp.Close
+				}
+				if drop {
+					c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	eventually(t, "some are served", func() bool { return served.Load() >= 200 })
+	cancel()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("it does not end")
+	}
+	callers.Wait()
+	close(over)
+	news.Wait()
+	eventually(t, "all given back", func() bool {
+		used, _ := p.sockets.inUse()
+		p.driver.mu.Lock()
+		defer p.driver.mu.Unlock()
+		return used == 0 && len(p.driver.calls)+len(p.driver.open) == 0
+	})
+}
