upstream: an idle connection is looked at again just before the first byte

Cause: a late second answer that came after connect had looked (Quiet) and before the first byte, while the module was asked or the text built, was read as the next request's answer: a client would have been served what was made for another.

Change: prepare looks once more where the connection has carried a message, after all else; what has come means another connection, for which the module is asked anew.

Seen: TestLateAnswerBeforeTheFirstByte fails without it.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -122,21 +122,14 @@
 // has a rest.
 func (b *Backend) Exchange(ctx context.Context, req *Request) Answer {
 	deadline := time.Now().Add(req.Timeout)
-	c, err := b.connect(ctx, deadline)
-	if err != nil {
-		if errors.Is(err, errNoSlot) {
-			return Answer{Stage: Unsent, Err: err}
-		}
-		return Answer{Stage: Unopened, Err: err}
-	}
-	if req.Connected != nil && !req.Connected() {
-		b.keep(c) // nothing has been written on it
-		return Answer{Stage: Unsent, Err: errUnwanted}
+	c, text, failed := b.prepare(ctx, req, deadline)
+	if failed != nil {
+		return *failed
 	}
 	c.SetDeadline(deadline)
 	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer unwatch()
-	if _, err := c.Write(req.Text(time.Until(deadline))); err != nil {
+	if _, err := c.Write(text); err != nil {
 		b.discard(c)
 		return Answer{Stage: Unopened, Err: err}
 	}
@@ -219,6 +212,28 @@
 	return answer
 }
 
+// prepare has a connection and the text for it, just before the first byte, or how the
+// exchange ends without one.
+func (b *Backend) prepare(ctx context.Context, req *Request, deadline time.Time) (*http1.Conn, []byte, *Answer) {
+	for {
+		c, err := b.connect(ctx, deadline)
+		switch {
+		case errors.Is(err, errNoSlot):
+			return nil, nil, &Answer{Stage: Unsent, Err: err}
+		case err != nil:
+			return nil, nil, &Answer{Stage: Unopened, Err: err}
+		case req.Connected != nil && !req.Connected():
+			b.keep(c) // nothing has been written on it
+			return nil, nil, &Answer{Stage: Unsent, Err: errUnwanted}
+		}
+		text := req.Text(time.Until(deadline))
+		if !c.Carried() || c.Quiet() {
+			return c, text, nil
+		}
+		b.discard(c) // what has come since it was taken is not ours
+	}
+}
+
 // passRest sends the rest of a long request on as it comes. An answer that comes
 // meanwhile ends it, since the backend has said no; so does the end of ctx, wherever the
 // transfer stands.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -218,6 +218,49 @@
 	}
 }
 
+// Guards against a late second answer that comes after an idle connection was taken and
+// before the first byte of the next request: it would be taken for that one's.
+func TestLateAnswerBeforeTheFirstByte(t *testing.T) {
+	again := make(chan bool)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		c.Reply(200, fmt.Sprint(c.N))
+		if c.N == 1 {
+			<-again
+			c.Reply(200, "late")
+			again <- true
+		}
+	})
+	opt, _ := options(10)
+	up := New(b.Addr(), opt)
+	defer up.Close()
+	ctx, req := timed(soon(t), get)
+	if a := up.Exchange(ctx, req); a.Err != nil || string(a.Body) != "1" {
+		t.Fatalf("got %q, %v", a.Body, a.Err)
+	}
+	up.mu.Lock()
+	taken := up.idle[0].conn
+	up.idle[0].since = time.Now().Add(-time.Hour) // it has rested
+	up.mu.Unlock()
+	asked := 0
+	req.Connected = func() bool { asked++; return true }
+	req.Text = func(left time.Duration) []byte {
+		if asked == 1 {
+			again <- true
+			<-again
+			for taken.Quiet() { // until it is here
+				time.Sleep(time.Millisecond)
+			}
+		}
+		return get(left)
+	}
+	if a := up.Exchange(ctx, req); a.Err != nil || string(a.Body) != "2" {
+		t.Errorf("got %q, %v, want the second answer", a.Body, a.Err)
+	}
+	if opened, _ := b.Conns(); opened != 2 || asked != 2 {
+		t.Errorf("%d connections, asked %d times, want 2 of both", opened, asked)
+	}
+}
+
 // Guards against a request that must not run twice lost to a connection that
 // its peer had closed while idle.
 func TestClosedWhileIdle(t *testing.T) {
