--- a/proxy/config.go
+++ b/proxy/config.go
@@ -59,6 +59,7 @@
 const (
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
+	mostMemoryMB    = 1 << 16 // more is of no use, and places for long messages are made by it
 	leastSockets    = 32
 	leastShared     = 2 // descriptors for requests, however many processes share few
 )
@@ -156,24 +157,21 @@
 	if c.Limits.Sockets == 0 {
 		c.Limits.Sockets = defaultSockets
 	}
+	c.Limits.MemoryMB = min(c.Limits.MemoryMB, mostMemoryMB)
 	if c.Grace == 0 {
 		c.Grace = DefaultGrace
 	}
 	switch {
 	case c.Grace < 0:
 		return errors.New("grace below zero")
-	case c.Limits.Cores < 0:
+	case !(c.Limits.Cores >= 0):
 		return errors.New("limits: cores below zero")
-	case c.Limits.MemoryMB < 0:
+	case !(c.Limits.MemoryMB >= 0):
 		return errors.New("limits: memory_mb below zero")
 	case c.Limits.Sockets < leastSockets:
 		return fmt.Errorf("limits: %d sockets, %d at least", c.Limits.Sockets, leastSockets)
 	case c.Settings == nil:
 		return errors.New("no settings")
-	case len(c.Settings.Classes) == 0:
-		return errors.New("settings: no classes")
-	case c.Settings.Limits.MaxAttempts < 1:
-		return errors.New("settings: limits: max-attempts below 1")
 	}
 	seed := rand.Uint64()
 	if c.Seed != "" {
@@ -182,25 +180,45 @@
 			return fmt.Errorf("seed: %w", err)
 		}
 	}
-	c.known = &discovery.List{All: true}
-	if c.Known != nil {
-		var err error
-		if c.known, err = discovery.Parse(*c.Known); err != nil {
-			return fmt.Errorf("known: %w", err)
-		}
-		c.known.All = true
+	known, err := c.parseKnown()
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
 	}
 	if err := c.Settings.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	var err error
 	if c.logic, err = c.Settings.Logic(seed); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	c.logic.TellWithin = discovery.TellWithin
+	if c.logic.AskWithin == 0 { // guards against calls with no pause between them while discovery is down
+		c.logic.AskWithin = discovery.TellWithin
+	}
+	c.known = known // last: what has it has been checked
 	return nil
 }
 
+// parseKnown reads the list known at the start. A proxy that has had none yet knows no
+// backend, in whatever form it is told that.
+func (c *Config) parseKnown() (*discovery.List, error) {
+	none := &discovery.List{All: true}
+	if c.Known == nil {
+		return none, nil
+	}
+	l, err := discovery.Parse(*c.Known)
+	if err != nil {
+		var in struct {
+			Targets []json.RawMessage `json:"targets"`
+		}
+		if json.Unmarshal(*c.Known, &in) != nil || len(in.Targets) > 0 {
+			return nil, err
+		}
+		return none, nil
+	}
+	l.All = true
+	return l, nil
+}
+
 // heapShare is the heap's part of the memory; the rest is stacks, sockets and files.
 const heapShare = 0.6
 
