Tests: the built program starts with a configuration of every shape that is allowed

Two shapes were tested, both like the deployments that we serve, so that a check refused right settings of a third one unseen.

For each the program has to say ok in `check`, start, get ready and serve a request of each class, and send none to what has left. A list in the test names what the files have to cover, so that none can go unseen. Placement keys are left out: they are not enforced yet.

--- /dev/null
+++ b/cmd/oxbowloft/shapes_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"oxbowloft/internal/standin"
+)
+
+// shape is what the test asks of a configuration: its class names, and the values by
+// which it tells what the files cover.
+type shape struct {
+	Limits *struct{ Sockets int }
+	Known  *struct {
+		Targets []struct{ State string }
+	}
+	Settings struct {
+		Kind      string `json:"kind-of-service"`
+		Discovery string
+		Zones     []string
+		Stage     int
+		Classes   []struct{ Name, Idempotency, Group string }
+		Clients   struct {
+			Marks bool `json:"marks-retry"`
+		}
+		Limits struct {
+			Streams int  `json:"streams-per-conn"`
+			After   bool `json:"retry-after"`
+			Tell    bool `json:"may-tell"`
+			Probing bool
+		}
+		Report struct{ How string }
+		Orgs   []struct{ Name string }
+		Moon   string
+	}
+}
+
+// covers names what of the shapes the configuration has.
+func (s *shape) covers() []string {
+	o := s.Settings
+	count := func(what string, n int) string { return what + " " + strconv.Itoa(min(n, 2)) }
+	out := []string{
+		"kind " + o.Kind, "discovery " + o.Discovery, "report " + o.Report.How,
+		"kind " + o.Kind + ", streams " + strconv.Itoa(o.Limits.Streams),
+		"kind " + o.Kind + ", discovery " + o.Discovery,
+		"kind " + o.Kind + ", marks " + strconv.FormatBool(o.Clients.Marks),
+		"kind " + o.Kind + ", tell " + strconv.FormatBool(o.Limits.Tell),
+		"kind " + o.Kind + ", probing " + strconv.FormatBool(o.Limits.Probing),
+		"kind " + o.Kind + ", " + count("zones", len(o.Zones)),
+		"stage " + strconv.Itoa(o.Stage),
+		"retry-after " + strconv.FormatBool(o.Limits.After),
+		count("tenants", len(o.Orgs)),
+	}
+	for _, c := range o.Classes {
+		out = append(out, c.Idempotency)
+		if c.Idempotency == "guarded" {
+			out = append(out, "group "+c.Group)
+		}
+	}
+	switch {
+	case s.Limits == nil:
+		out = append(out, "no limits")
+	case s.Limits.Sockets == 32:
+		out = append(out, "least sockets")
+	}
+	if o.Moon != "" {
+		out = append(out, "unknown keys")
+	}
+	switch {
+	case s.Known == nil:
+		out = append(out, "no known")
+	case len(s.Known.Targets) == 0:
+		out = append(out, "empty known")
+	}
+	if s.Known != nil {
+		for _, t := range s.Known.Targets {
+			out = append(out, "known "+t.State)
+		}
+	}
+	return out
+}
+
+// The program starts with a configuration of every shape that the operators' pages allow,
+// gets ready, and serves a request of each class. Guards against a check that refuses, and
+// against code that fails on, a deployment unlike those that we know.
+func TestShapes(t *testing.T) {
+	files, err := filepath.Glob("testdata/shapes/*.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	covered := map[string]bool{}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var s shape
+		if err := json.Unmarshal(text, &s); err != nil {
+			t.Fatalf("%s: %v", file, err)
+		}
+		for _, c := range s.covers() {
+			covered[c] = true
+		}
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) { serveShape(t, string(text), &s) })
+	}
+	for _, want := range []string{
+		"kind chain", "kind mesh", "kind proxy", "kind ",
+		"discovery on_request", "discovery pushed", "discovery ",
+		"kind chain, discovery on_request", "kind chain, discovery pushed",
+		"kind mesh, discovery on_request", "kind mesh, discovery pushed",
+		"kind chain, streams 1", "kind chain, streams 100", "kind mesh, streams 1", "kind mesh, streams 100",
+		"kind chain, marks true", "kind chain, marks false", "kind mesh, marks true", "kind mesh, marks false",
+		"kind chain, tell true", "kind mesh, tell true", "kind chain, probing true", "kind mesh, probing true",
+		"kind chain, zones 1", "kind chain, zones 2", "kind mesh, zones 1", "kind mesh, zones 2",
+		"stage 0", "stage 1",
+		"free", "guarded", "single_shot", "group all", "group zone", "group cell",
+		"report inline", "report on_probe", "report off", "report ",
+		"retry-after true", "retry-after false",
+		"tenants 0", "tenants 2",
+		"unknown keys", "no limits", "least sockets",
+		"no known", "empty known", "known in_service", "known terminating", "known terminated",
+	} {
+		if !covered[want] {
+			t.Errorf("no file has %q", want)
+		}
+	}
+}
+
+// serveShape starts the program as text says, with addresses filled in, and asks it for
+// each class.
+func serveShape(t *testing.T, text string, s *shape) {
+	b, gone := standin.NewBackend(t, standin.Echo), standin.NewBackend(t, standin.Echo)
+	d := standin.NewDiscovery(t, standin.List(100, true, standin.Target("b-9", b.Addr())))
+	addr := freeAddr(t)
+	text = strings.NewReplacer("LISTEN", addr, "DISCOVERY", d.Addr(), "BACKEND", b.Addr(), "GONE", gone.Addr()).Replace(text)
+	config := writeConfig(t, text)
+	if out, err := exec.Command(program, "check", config).CombinedOutput(); err != nil {
+		t.Fatalf("refused: %s", out)
+	}
+	cmd := exec.Command(program, "serve", "--grace", "20ms")
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+config)
+	r := launch(t, cmd, addr)
+	r.eventually("ready", func() bool {
+		return r.dial().ask("GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").status == 200
+	})
+	for _, class := range s.Settings.Classes {
+		request, want := head("GET", "/api", class.Name, 4000), "GET /api "
+		if class.Idempotency != "free" {
+			request, want = post(class.Name, "x", 4000), "POST /api x"
+		}
+		if got := r.dial().ask(request); got.status != 200 || got.body != want {
+			t.Errorf("%s: got %+v", class.Name, got)
+		}
+	}
+	if want := len(s.Settings.Classes); b.Calls() != want || gone.Calls() != 0 {
+		t.Errorf("%d calls in service, want %d; %d to what had left or was leaving", b.Calls(), want, gone.Calls())
+	}
+	if slices.ContainsFunc(s.covers(), func(c string) bool { return c == "no known" || c == "empty known" }) && len(d.Asked()) == 0 {
+		t.Error("discovery was not asked")
+	}
+}
