--- a/proxy/race_test.go
+++ b/proxy/race_test.go
@@ -106,7 +106,8 @@
 			case 0:
 				d.listMoved()
 			case 1:
-				d.listFailed(discovery.Silent, time.Now())
+				d.listFailed(discovery.Silent)
+				d.listFresh(time.Now().Add(time.Second), 0)
 			case 2:
 				d.byHand(fmt.Sprintf("s-%d", r.IntN(8)), r.IntN(2) == 0)
 			case 3:
