--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -122,27 +122,24 @@
 // has a rest.
 func (b *Backend) Exchange(ctx context.Context, req *Request) Answer {
 	deadline := time.Now().Add(req.Timeout)
-	c, err := b.connect(ctx, deadline)
-	if err != nil {
-		if errors.Is(err, errNoSlot) {
-			return Answer{Stage: Unsent, Err: err}
-		}
-		return Answer{Stage: Unopened, Err: err}
-	}
-	if req.Connected != nil && !req.Connected() {
-		b.keep(c) // nothing has been written on it
-		return Answer{Stage: Unsent, Err: errUnwanted}
+	c, text, failed := b.prepare(ctx, req, deadline)
+	if failed != nil {
+		return *failed
 	}
 	c.SetDeadline(deadline)
 	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer unwatch()
-	if _, err := c.Write(req.Text(time.Until(deadline))); err != nil {
+	if _, err := c.Write(text); err != nil {
 		b.discard(c)
 		return Answer{Stage: Unopened, Err: err}
 	}
 	if req.Rest != nil {
-		err := passRest(c, req)
+		carried := c.Carried()
+		err := passRest(ctx, c, req)
 		switch {
+		case err != nil && ctx.Err() != nil:
+			b.discard(c)
+			return Answer{Stage: Unopened, Err: ctx.Err()}
 		case errors.Is(err, errEarly), errors.Is(err, http1.ErrPassed):
 			// It said no before the end, or broke: what it said counts.
 			if errors.Is(err, http1.ErrPassed) {
@@ -150,11 +147,21 @@
 			}
 			deadline = time.Now().Add(req.Timeout)
 			c.SetDeadline(deadline)
-			resp, body, rest, readErr := c.ReadResponse(deadline)
+			resp, body, rest, readErr := c.ReadResponse(ctx, deadline)
 			b.discard(c)
 			if readErr != nil || rest != nil {
 				return Answer{Stage: Unopened, Err: err}
 			}
+			// Guards against what is late of an older answer: a backend begins at the
+			// request's last byte, and may have begun nothing.
+			if resp.StatusCode == http.StatusOK && carried {
+				return Answer{Stage: Answered, Err: errEarly}
+			}
+			// A reset is told once, and the write has heard it: what ends with its
+			// connection now looks whole, wherever it was cut off.
+			if resp.StatusCode == http.StatusOK && http1.Unbounded(resp) && errors.Is(err, http1.ErrPassed) {
+				return Answer{Stage: Unopened, Err: err}
+			}
 			return Answer{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
 		case err != nil:
 			b.discard(c)
@@ -171,7 +178,7 @@
 	if req.Written != nil {
 		req.Written()
 	}
-	resp, body, rest, err := c.ReadResponse(deadline)
+	resp, body, rest, err := c.ReadResponse(ctx, deadline)
 	if err != nil {
 		b.discard(c)
 		stage := Written
@@ -205,9 +212,32 @@
 	return answer
 }
 
+// prepare has a connection and the text for it, just before the first byte, or how the
+// exchange ends without one.
+func (b *Backend) prepare(ctx context.Context, req *Request, deadline time.Time) (*http1.Conn, []byte, *Answer) {
+	for {
+		c, err := b.connect(ctx, deadline)
+		switch {
+		case errors.Is(err, errNoSlot):
+			return nil, nil, &Answer{Stage: Unsent, Err: err}
+		case err != nil:
+			return nil, nil, &Answer{Stage: Unopened, Err: err}
+		case req.Connected != nil && !req.Connected():
+			b.keep(c) // nothing has been written on it
+			return nil, nil, &Answer{Stage: Unsent, Err: errUnwanted}
+		}
+		text := req.Text(time.Until(deadline))
+		if !c.Carried() || c.Quiet() {
+			return c, text, nil
+		}
+		b.discard(c) // what has come since it was taken is not ours
+	}
+}
+
 // passRest sends the rest of a long request on as it comes. An answer that comes
-// meanwhile ends it: the backend has said no.
-func passRest(c *http1.Conn, req *Request) error {
+// meanwhile ends it, since the backend has said no; so does the end of ctx, wherever the
+// transfer stands.
+func passRest(ctx context.Context, c *http1.Conn, req *Request) error {
 	c.SetReadDeadline(time.Time{})
 	var answered atomic.Bool
 	said := func() {
@@ -215,20 +245,29 @@
 		req.Rest.Interrupt() // the sender may be slow, or wait for the answer
 	}
 	c.Watch(said, said)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		req.Rest.Interrupt()
+		close(interrupted)
+	})
 	within := Progress(c.SetWriteDeadline)
 	err := req.Transfers.Pass(c, req.Rest, false, func(passed int64) error {
 		if answered.Load() {
 			return errEarly
 		}
 		within(passed)
-		return nil
+		return ctx.Err() // looked at last: the deadline that ends it may just have been overwritten
 	})
 	c.Unwatch()
-	if answered.Load() {
+	givenUp := !stop()
+	if givenUp {
+		<-interrupted
+	}
+	if givenUp || answered.Load() {
 		req.Rest.Resume()
-		if errors.Is(err, http1.ErrInterrupted) {
-			err = errEarly
-		}
+	}
+	if answered.Load() && errors.Is(err, http1.ErrInterrupted) {
+		err = errEarly
 	}
 	return err
 }
