Every close of a client's connection that is no reset on purpose lingers

Cause: an idle connection, the last answer of a drain, HTTP/1.0, Connection: close and a 408 ended in a plain close, and a 4xx too where nothing had come at the moment of the look. A close over unread bytes is a reset, and takes back what the client has not read of the last answer.

At the end of a drain what lingers is closed. It comes after the request has been let go, so that its id is free meanwhile (readOn, which exchange still calls, does nothing any more). A new connection has its 20 ms to say something also where it is nudged: it was closed in the moment of its accept. A long answer decides once whether it is the last one: one that said Connection: close could be followed by another.

Measured: with a plain close in its place all eleven cases of TestCloseCrossed end in a reset, TestCloseBehindLongAnswer and TestLingeringGivesWay fail, and with the old decision TestLastAnswerIsLast. With the change proxy, cmd/oxbowloft and internal/http1 pass under the race detector.

--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -20,22 +20,31 @@
 	newLimit  time.Duration // from the accept to a whole head
 	idleLimit time.Duration // from an answer to the next request's first byte
 
-	mu      sync.Mutex
-	fresh   *list.List // of *client that wait for their first request, oldest first
-	waiting *list.List // of those that have had an answer, oldest first
-	open    int
-	closing bool          // none may wait any more
-	empty   chan struct{} // closed once closing and none is open
+	freshLeast  time.Duration // from the accept to a close that makes room
+	lingerLimit time.Duration // from the end of writing to the close
+	short       func() bool   // descriptors run short
+
+	mu        sync.Mutex
+	fresh     *list.List // of *client that wait for their first request, oldest first
+	waiting   *list.List // of those that have had an answer, oldest first
+	lingering *list.List // of those that are being closed, oldest first
+	open      int
+	closing   bool          // none may wait any more
+	cut       bool          // none may linger any more
+	empty     chan struct{} // closed once closing and none is open
 }
 
 type client struct {
 	conn   *http1.Conn
 	since  time.Time     // it waits, or was accepted
 	asked  bool          // a request of it has been taken
-	place  *list.Element // in fresh or waiting
+	place  *list.Element // in fresh, waiting or lingering
 	begun  bool          // a part of a request is here
 	nudged bool
 
+	reset   bool // its close is a reset on purpose, or can be nothing else
+	hurried bool // it lingers for lingerLeast
+
 	bodyFrom time.Time // when its body began to come; zero: not yet
 }
 
@@ -61,12 +70,16 @@
 
 func newClients() *clients {
 	return &clients{
-		partLimit: partLimit,
-		newLimit:  newLimit,
-		idleLimit: idleLimit,
-		fresh:     list.New(),
-		waiting:   list.New(),
-		empty:     make(chan struct{}),
+		partLimit:   partLimit,
+		newLimit:    newLimit,
+		idleLimit:   idleLimit,
+		freshLeast:  freshLeast,
+		lingerLimit: lingerLimit,
+		fresh:       list.New(),
+		waiting:     list.New(),
+		lingering:   list.New(),
+		short:       func() bool { return false },
+		empty:       make(chan struct{}),
 	}
 }
 
@@ -127,7 +140,7 @@
 	c.place = s.listOf(c).PushBack(c)
 	c.conn.SetReadDeadline(c.since.Add(limit))
 	if s.closing {
-		c.nudge()
+		s.nudge(c)
 	}
 }
 
@@ -173,39 +186,49 @@
 	c.conn.SetReadDeadline(time.Time{})
 }
 
-// nudge ends the wait of a client, soon if a request has begun to come; its own
-// task then closes it.
-func (c *client) nudge() {
+// nudge ends the wait of a client, soon if a request has begun to come, or if it is new;
+// its own task then closes it.
+func (s *clients) nudge(c *client) {
 	c.nudged = true
-	if c.begun {
+	switch {
+	case c.begun:
 		c.conn.SetReadDeadline(time.Now().Add(nudgedPart))
-	} else {
+	case !c.asked: // its first request is most likely on the way
+		c.conn.SetReadDeadline(c.since.Add(s.freshLeast))
+	default:
 		c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// nudgeOldest nudges n clients: those that have said nothing since they came, then
-// those that have been idle for long, then the rest of both.
+// nudgeOldest nudges n clients: those that linger at their close, which then do so no
+// longer than they must, those that have said nothing since they came, then those that
+// have been idle for long, then the rest of both.
 func (s *clients) nudgeOldest(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for e := s.lingering.Front(); e != nil && n > 0; e = e.Next() {
+		if c := e.Value.(*client); !c.hurried {
+			c.hurry()
+		}
+		n--
+	}
 	now := time.Now()
-	n = nudge(s.fresh, n, now.Add(-freshLeast))
-	n = nudge(s.waiting, n, now.Add(-idleLeast))
-	n = nudge(s.fresh, n, now)
-	nudge(s.waiting, n, now)
+	n = s.nudgeBefore(s.fresh, n, now.Add(-s.freshLeast))
+	n = s.nudgeBefore(s.waiting, n, now.Add(-idleLeast))
+	n = s.nudgeBefore(s.fresh, n, now)
+	s.nudgeBefore(s.waiting, n, now)
 }
 
-// nudge nudges up to n of those that wait since before a time, and returns how many
+// nudgeBefore nudges up to n of those that wait since before a time, and returns how many
 // it did not find.
-func nudge(l *list.List, n int, before time.Time) int {
+func (s *clients) nudgeBefore(l *list.List, n int, before time.Time) int {
 	for e := l.Front(); e != nil && n > 0; e = e.Next() {
 		c := e.Value.(*client)
 		if c.since.After(before) {
 			break
 		}
 		if !c.nudged {
-			c.nudge()
+			s.nudge(c)
 		}
 		n--
 	}
@@ -225,7 +248,7 @@
 	for _, l := range []*list.List{s.fresh, s.waiting} {
 		for e := l.Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*client); !c.begun {
-				c.nudge()
+				s.nudge(c)
 			}
 		}
 	}
--- /dev/null
+++ b/proxy/linger_test.go
@@ -0,0 +1,397 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"oxbowloft/internal/http1"
+	"oxbowloft/internal/standin"
+)
+
+// crossed is a client's connection as the proxy has it. In the very moment in which the
+// proxy first shuts or closes it, late happens, and all of what that sends has come.
+type crossed struct {
+	*net.TCPConn
+	once sync.Once
+	late func()
+	shut bool // its write side was ended
+}
+
+func (c *crossed) CloseWrite() error {
+	c.shut = true
+	c.once.Do(c.late)
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *crossed) Close() error {
+	c.once.Do(c.late)
+	return c.TCPConn.Close()
+}
+
+// arrived waits until something can be read from a connection, without taking it.
+func arrived(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	eventually(t, "late bytes", func() (here bool) {
+		raw.Control(func(fd uintptr) {
+			n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			here = n > 0
+		})
+		return here
+	})
+}
+
+// crossing is a proxy that serves one connection, on which what late says comes as the
+// proxy shuts or closes it. ended is closed once the proxy is done with it.
+func crossing(t *testing.T, p *Proxy, late string) (c *net.TCPConn, at *crossed, ended chan bool) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	accepted, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	at = &crossed{TCPConn: accepted.(*net.TCPConn)}
+	at.late = func() {
+		if late != "" {
+			io.WriteString(nc, late)
+			arrived(t, at.TCPConn)
+		}
+	}
+	ended = make(chan bool)
+	p.sockets.wait()
+	p.clients.add()
+	go func() {
+		defer close(ended)
+		p.serve(&client{conn: http1.NewConn(at), since: time.Now()})
+	}()
+	return nc.(*net.TCPConn), at, ended
+}
+
+// A close over unread bytes resets the connection, and takes back what the client has not
+// read of the last answer. Whatever ends a connection, and whatever comes in that very
+// moment, the client gets all that was written and then the end; what came is not served.
+func TestCloseCrossed(t *testing.T) {
+	request := text("get", 2000)
+	old := strings.Replace(request, "HTTP/1.1", "HTTP/1.0", 1)
+	last := strings.Replace(request, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+	half := "POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhel"
+	chunk := "POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+	none := func(*Proxy) {}
+	quick := func(p *Proxy) {
+		p.clients.idleLimit, p.clients.newLimit, p.clients.partLimit = time.Millisecond, time.Millisecond, time.Millisecond
+	}
+	finish := func(p *Proxy) { p.clients.close() }
+	for _, c := range []struct {
+		name, sent, late string
+		before, after    func(*Proxy) // that the first answer is here
+		want             []string     // the answers' beginnings
+	}{
+		{"nothing asked yet", "", request, quick, none, nil},
+		{"idle limit", request, request, quick, none, []string{"HTTP/1.1 200 "}},
+		{"needed for others", request, request, none, func(p *Proxy) { p.clients.nudgeOldest(1) }, []string{"HTTP/1.1 200 "}},
+		{"end of a drain", request, request, none, finish, []string{"HTTP/1.1 200 "}},
+		{"last answer of a drain", request, request, func(p *Proxy) { p.enter(Finishing) }, none, []string{"HTTP/1.1 200 "}},
+		{"Connection: close", last, request, none, none, []string{"HTTP/1.1 200 "}},
+		{"HTTP/1.0", old, request, none, none, []string{"HTTP/1.1 200 "}},
+		{"empty line", last, "\r\n", none, none, []string{"HTTP/1.1 200 "}},
+		{"malformed", "noise\r\n", request, none, none, []string{"HTTP/1.1 400 "}},
+		{"inside a body", chunk, "5\r\nhello\r\n", none, none, []string{"HTTP/1.1 400 "}},
+		{"half a request", half, "lo", quick, none, []string{"HTTP/1.1 408 "}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := standin.NewBackend(t, standin.Echo)
+			list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+			p := listening(t, list, "127.0.0.1:1")
+			defer p.listener.Close()
+			c.before(p)
+			nc, _, ended := crossing(t, p, c.late)
+			io.WriteString(nc, c.sent)
+			calls := 0
+			if strings.HasPrefix(c.sent, "GET") {
+				calls = 1
+				eventually(t, "answered", func() bool { return p.stats.ended(fulfilled) == 1 })
+				eventually(t, "idle again, or over", func() bool {
+					p.clients.mu.Lock()
+					defer p.clients.mu.Unlock()
+					return p.clients.waiting.Len()+p.clients.lingering.Len() > 0 || p.clients.open == 0
+				})
+			}
+			c.after(p)
+			got, err := io.ReadAll(nc)
+			if err != nil {
+				t.Errorf("the connection ended with %v", err)
+			}
+			for _, want := range c.want {
+				if !bytes.HasPrefix(got, []byte(want)) {
+					t.Errorf("got %q, want %q", got, want)
+				}
+			}
+			if n := bytes.Count(got, []byte("HTTP/1.1 ")); n != len(c.want) {
+				t.Errorf("%d answers, want %d: %q", n, len(c.want), got)
+			}
+			nc.Close()
+			<-ended
+			if n := b.Calls(); n != calls {
+				t.Errorf("%d calls at the backend, want %d", n, calls)
+			}
+			for _, b := range p.driver.all() {
+				b.Close()
+			}
+		})
+	}
+}
+
+// An answer that is longer than what its reader takes at once is still on the way when
+// its connection is closed: all of it arrives, whatever the reader has sent meanwhile.
+func TestCloseBehindLongAnswer(t *testing.T) {
+	body := strings.Repeat("x", 60<<10)
+	b := standin.NewBackend(t, func(c *standin.Call) { c.Reply(200, body) })
+	p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+	defer p.listener.Close()
+	p.clients.lingerLimit = time.Hour
+	nc, _, ended := crossing(t, p, "\r\n")
+	nc.SetReadBuffer(4 << 10)
+	io.WriteString(nc, strings.Replace(text("get", 2000), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+	eventually(t, "closing", func() bool {
+		p.clients.mu.Lock()
+		defer p.clients.mu.Unlock()
+		return p.clients.lingering.Len() > 0 || p.clients.open == 0
+	})
+	if _, got := read(t, nc); got != body {
+		t.Errorf("got %d bytes of %d", len(got), len(body))
+	}
+	nc.Close()
+	<-ended
+	for _, b := range p.driver.all() {
+		b.Close()
+	}
+}
+
+// An answer that is cut short ends in a reset, which no lingering close may soften: a
+// clean end would be the end of an answer to HTTP/1.0.
+func TestCutShortIsReset(t *testing.T) {
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		c.Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", 0x20000) + "\r\n")
+		c.Reset()
+	})
+	p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+	defer p.listener.Close()
+	nc, at, ended := crossing(t, p, "")
+	io.WriteString(nc, strings.Replace(text("get", 2000), "HTTP/1.1", "HTTP/1.0", 1))
+	if got, err := io.ReadAll(nc); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%d bytes, then %v, want a reset", len(got), err)
+	}
+	<-ended
+	if at.shut {
+		t.Error("its end was written")
+	}
+	for _, b := range p.driver.all() {
+		b.Close()
+	}
+}
+
+// An answer that says that its connection ends is the last one, also where there is room
+// again by its end.
+func TestLastAnswerIsLast(t *testing.T) {
+	first, rest := make(chan bool), make(chan bool)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		<-first
+		c.Raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 100_000))
+		<-rest
+		c.Raw(strings.Repeat("x", 100_000))
+	})
+	p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+	defer p.listener.Close()
+	nc, _, ended := crossing(t, p, text("get", 2000))
+	set := func(by int) {
+		p.sockets.mu.Lock()
+		p.sockets.used += by
+		p.sockets.mu.Unlock()
+	}
+	calls := func() bool { return b.Calls() == 1 }
+	io.WriteString(nc, text("get", 2000))
+	eventually(t, "the attempt", calls)
+	set(1000)
+	close(first)
+	head := make([]byte, 64<<10)
+	if _, err := io.ReadFull(nc, head); err != nil || !bytes.Contains(head, []byte("Connection: close\r\n")) {
+		t.Errorf("%v, %.100q", err, head)
+	}
+	set(-1000)
+	close(rest)
+	if _, err := io.ReadAll(nc); err != nil { // to the end, with no second answer
+		t.Error(err)
+	}
+	nc.Close()
+	<-ended
+	if !calls() {
+		t.Error("another request was served")
+	}
+	for _, b := range p.driver.all() {
+		b.Close()
+	}
+}
+
+// Clients that never close their side, and floods that never end, are closed all the same.
+func TestLingerEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for _, c := range []struct {
+		name  string
+		limit time.Duration // what else ends it
+		flood bool
+	}{
+		{"silent", lingerLimit, false},
+		{"flood", time.Hour, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := listening(t, standin.List(1, true), "127.0.0.1:1")
+			defer p.listener.Close()
+			p.clients.lingerLimit = c.limit
+			nc, _, ended := crossing(t, p, "")
+			io.WriteString(nc, "noise\r\n")
+			over := make(chan bool)
+			go func() {
+				defer close(over)
+				for more := make([]byte, 16<<10); c.flood; {
+					if _, err := nc.Write(more); err != nil {
+						return
+					}
+				}
+			}()
+			select {
+			case <-ended:
+			case <-time.After(20 * time.Second):
+				t.Fatal("lingers on")
+			}
+			<-over
+			if n := p.clients.count(); n != 0 {
+				t.Errorf("%d clients are kept", n)
+			}
+		})
+	}
+}
+
+// Where descriptors run short, a connection that lingers gives its own up: clients that do
+// not close keep nobody out.
+func TestLingeringGivesWay(t *testing.T) {
+	p := listening(t, standin.List(1, true, standin.Target("s-1", "127.0.0.1:1")), "127.0.0.1:1")
+	p.sockets.resize(ownSockets + 8)
+	p.clients.newLimit, p.clients.lingerLimit = 10*time.Millisecond, time.Hour
+	defer running(t, p)()
+	for i := range 40 { // each is accepted, and told to end
+		if got, err := io.ReadAll(dial(t, p)); err != nil || len(got) > 0 {
+			t.Fatalf("client %d: %q, %v", i, got, err)
+		}
+	}
+}
+
+// A new connection has freshLeast to say something also where it is the only one that
+// could make room, or the process is about to end: guards against one that is closed in
+// the moment of its accept, with its request on the way.
+func TestNewClientIsHeard(t *testing.T) {
+	for name, needed := range map[string]func(*Proxy){
+		"its descriptor is needed": func(p *Proxy) { p.clients.nudgeOldest(10) },
+		"the drain ends":           func(p *Proxy) { p.clients.close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := listening(t, standin.List(1, true), "127.0.0.1:1")
+			defer p.listener.Close()
+			p.clients.freshLeast = time.Hour
+			nc, _, ended := crossing(t, p, "")
+			eventually(t, "waiting", func() bool {
+				p.clients.mu.Lock()
+				defer p.clients.mu.Unlock()
+				return p.clients.fresh.Len() == 1
+			})
+			needed(p)
+			if status, _ := ask(t, nc, "get", 2000); status != 503 {
+				t.Errorf("got %d", status)
+			}
+			nc.Close()
+			<-ended
+		})
+	}
+}
+
+// A drain ends by itself and in time, though its clients never close: what lingers at its
+// end is closed, and nothing that was answered counts as cut off.
+func TestDrainDoesNotLinger(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	var text logged
+	log.SetOutput(&text)
+	defer log.SetOutput(io.Discard)
+	t.Run("drain", func(t *testing.T) {
+		b := standin.NewBackend(t, standin.Echo)
+		list := standin.List(1, true, standin.Target("s-1", b.Addr()))
+		p := listening(t, list, "127.0.0.1:1")
+		p.clients.lingerLimit = time.Hour
+		p.cfg.Grace, p.longest, p.shortest = time.Millisecond, 300*time.Millisecond, 300*time.Millisecond
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- p.Run(ctx) }()
+		eventually(t, "ready", p.Ready)
+		for i := range 20 {
+			c := dial(t, p)
+			if i%2 == 0 {
+				ask(t, c, "get", 2000)
+			}
+		}
+		cancel()
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("still runs")
+		}
+		if n := p.clients.count(); n != 0 {
+			t.Errorf("%d clients are kept", n)
+		}
+	})
+	if bytes.Contains(text.bytes(), []byte("cut_off")) {
+		t.Error("cut off")
+	}
+}
+
+// logged is what has been written to the log.
+type logged struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logged) bytes() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Clone(l.text.Bytes())
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -130,7 +130,7 @@
 		log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
 		p.driver.list(l)
 	}
-	p.sockets.relieve = p.relieve
+	p.sockets.relieve, p.clients.short = p.relieve, p.sockets.short
 	p.driver.list(cfg.known)
 	return p, nil
 }
@@ -269,7 +269,11 @@
 		select {
 		case <-p.clients.empty:
 		case <-time.After(finishSlack):
-			log.Printf("event=cut_off err=%q", "requests in flight past the end of the drain")
+			if p.clients.hurryAll() > 0 {
+				log.Printf("event=cut_off err=%q", "requests in flight past the end of the drain")
+			} else {
+				<-p.clients.empty
+			}
 		}
 	}
 	stop()
@@ -387,6 +391,7 @@
 	defer c.conn.Close()
 	for p.exchange(c) {
 	}
+	p.clients.linger(c)
 }
 
 // relieve frees descriptors: of backends' connections the one that has been
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -343,7 +341,8 @@
 		ends[fulfilled].Add(1)
 		return p.write(c, got.Status, header, got.Body, req.Close)
 	}
-	err := p.passLong(c, req, got, header)
+	last := !req.ProtoAtLeast(1, 1) || req.Close || !p.stays() // said once, and kept to
+	err := p.passLong(c, req, got, header, last)
 	got.Release(err == nil)
 	if err == nil || errors.Is(err, http1.ErrPassed) {
 		ends[fulfilled].Add(1)
@@ -352,17 +351,18 @@
 	}
 	if err != nil { // the client must be able to tell: no end, and no clean close
 		p.stats.cutShort.Add(1)
-		if t, ok := c.conn.Conn.(*net.TCPConn); ok {
+		c.reset = true
+		if t, ok := c.conn.Conn.(interface{ SetLinger(int) error }); ok {
 			t.SetLinger(0)
 		}
 		return false
 	}
-	return req.ProtoAtLeast(1, 1) && !req.Close && p.stays()
+	return !last
 }
 
 // passLong writes an answer with a rest, as it comes. A client that reads HTTP/1.0 gets
 // one of unknown size until the connection's end.
-func (p *Proxy) passLong(c *client, req *http.Request, got *upstream.Answer, header []string) error {
+func (p *Proxy) passLong(c *client, req *http.Request, got *upstream.Answer, header []string, last bool) error {
 	old, first := !req.ProtoAtLeast(1, 1), got.Body
 	switch {
 	case got.Rest.Size >= 0:
@@ -373,7 +373,7 @@
 	}
 	within := upstream.Progress(c.conn.SetWriteDeadline)
 	within(0)
-	if _, err := c.conn.Write(answerText(got.Status, header, first, old || req.Close || !p.stays())); err != nil {
+	if _, err := c.conn.Write(answerText(got.Status, header, first, last)); err != nil {
 		return fmt.Errorf("%w: %w", http1.ErrPassed, err)
 	}
 	return p.transfers.Pass(c.conn, got.Rest, old, func(passed int64) error {
@@ -406,6 +406,7 @@
 	c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
 	if _, err := c.conn.Write(answerText(status, header, body, last)); err != nil {
 		p.stats.unwritten.Add(1)
+		c.reset = true // nobody takes what it would linger for
 		return false
 	}
 	return !last
@@ -454,20 +455,8 @@
 	}
 	p.stats.turnedAway(code, c.conn.RemoteAddr(), err)
 	p.write(c, code, nil, []byte(http.StatusText(code)+"\n"), true)
-	if code != http.StatusRequestTimeout {
-		p.readOn(c)
-	}
 }
 
-// readOn reads on for a little while behind a last answer, where something has not been
-// read: closing on that would take the answer back.
-func (p *Proxy) readOn(c *client) {
-	if !c.conn.More() {
-		return // all that came has been read
-	}
-	const most, atMost = 256 << 10, 250 * time.Millisecond
-	if t, ok := c.conn.Conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
-		c.conn.SetReadDeadline(time.Now().Add(atMost))
-		io.CopyN(io.Discard, t, most)
-	}
-}
+// readOn has nothing left to do: what comes behind a last answer is read by the lingering
+// close, once the request has been let go, so that its id is free for another try.
+func (p *Proxy) readOn(*client) {}
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -82,14 +82,21 @@
 }
 
 func (s *sockets) relieveIfNear() {
-	s.mu.Lock()
-	excess := s.used + 1 - int(relieveAbove*float64(s.limit))
-	s.mu.Unlock()
-	if excess > 0 {
-		s.relieve(excess)
+	if n := s.excess(); n > 0 {
+		s.relieve(n)
 	}
 }
 
+// excess is how many too many are in use once another one is.
+func (s *sockets) excess() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used + 1 - int(relieveAbove*float64(s.limit))
+}
+
+// short tells whether descriptors are given back as soon as can be.
+func (s *sockets) short() bool { return s.excess() > 0 }
+
 func (s *sockets) inUse() (used, most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
