A drain ends in time with no descriptor left, and a signal before serving ends with 0

Cause: drain waited for an acceptor that waited for a descriptor, without a bound: with requests that outlast the drain the end never came to it, and the platform's kill would have found them unanswered. What the kernel had accepted got 0.1 s in all, and any error of accepting ended it. SIGTERM while the configuration was read ended the program by the signal. A connection that is accepted behind the last one (a caught accept) closed a channel twice: a panic. An HTTP/1.0 answer without a length looked whole where the process was killed in the middle of it.

Change: the wait for a descriptor has a bound in a drain. The rest of the backlog is taken beside the drain, until none is left, at the latest with the descriptors that the answers of its end free; it counts as a client, so that nothing ends before it. Both signals are taken from the first step of serve on, and a proxy that is told to end before it listens does not listen. Until such an answer is whole its connection would end in a reset, also by the kernel. The channel is closed once.

Measured: without the bound TestDrainWithNoDescriptorLeft has no answer in 20 s and a reset in the backlog; without their mends TestWaitForDescriptorEnds, TestAcceptedBehindTheLast (panic), TestEndBeforeStart, TestSignalBeforeServing (all three orders end by the signal) and TestKilledInOpenEndedAnswer (a clean end) fail. TestNewClientIsHeard looks at the deadline that is set: as it stood it passed without its mend, now it fails then. With the change proxy, cmd/oxbowloft and internal/http1 pass under the race detector.

--- /dev/null
+++ b/cmd/oxbowloft/end_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"oxbowloft/internal/standin"
+)
+
+// A signal that comes while the configuration is still being read ends the program as any
+// other, or is taken as any other: the platform may tell it to end in its first moment.
+// The configuration is a pipe, so that the moment lasts for as long as the test wants.
+func TestSignalBeforeServing(t *testing.T) {
+	list := standin.List(1, true)
+	for _, signals := range [][]os.Signal{
+		{syscall.SIGTERM},
+		{syscall.SIGHUP, syscall.SIGTERM},
+		{syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		t.Run(fmt.Sprint(signals), func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := syscall.Mkfifo(path, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command(program, "serve", "--grace", "20ms", path)
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			r := &running{t: t, cmd: cmd, dead: make(chan error, 1)}
+			go func() { r.dead <- cmd.Wait() }()
+			pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // once the program has opened it
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range signals {
+				r.signal(s)
+			}
+			io.WriteString(pipe, standin.Config(freeAddr(t), "127.0.0.1:1", 256, list))
+			pipe.Close()
+			if err := r.wait(); err != nil {
+				t.Errorf("exit: %v", err)
+			}
+		})
+	}
+}
+
+// An answer whose end is that of its connection must not look whole when the process ends
+// in the middle of it: the client gets a reset.
+func TestKilledInOpenEndedAnswer(t *testing.T) {
+	long := strings.Repeat("x", 200_000)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		c.Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" + long + "\r\n")
+		c.Hang()
+	})
+	r := startOn(t, b)
+	c := r.dial()
+	c.send(strings.Replace(get(2000), "HTTP/1.1", "HTTP/1.0", 1))
+	if _, err := io.ReadFull(c.r, make([]byte, len(long))); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(syscall.SIGKILL)
+	r.wait()
+	if _, err := io.ReadAll(c.r); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the answer ended with %v, want a reset", err)
+	}
+}
--- a/cmd/oxbowloft/main.go
+++ b/cmd/oxbowloft/main.go
@@ -44,7 +44,10 @@
 		Short: "Balance until SIGTERM, as the configuration ($BALANCER_CONFIG) says",
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			// From here on SIGHUP no longer ends the process, in a drain neither.
+			// From here on neither signal ends the process by itself, however early it
+			// comes; SIGHUP does not in a drain neither.
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			context.AfterFunc(ctx, stop) // a second signal ends the process
 			again := make(chan os.Signal, 1)
 			signal.Notify(again, syscall.SIGHUP)
 			cfg, err := load(args)
@@ -57,8 +60,6 @@
 				return err
 			}
 			p.OnLimits = proxy.Limits.Tune
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			context.AfterFunc(ctx, stop) // a second signal ends the process
 			go func() {
 				for range again {
 					reload(p, args)
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -99,10 +99,21 @@
 func (s *clients) remove() {
 	s.mu.Lock()
 	s.open--
-	if s.closing && s.open == 0 {
+	s.ended()
+	s.mu.Unlock()
+}
+
+// ended closes empty, once: a connection that was caught in the kernel may still be
+// accepted after the last one has gone. The caller holds mu.
+func (s *clients) ended() {
+	if !s.closing || s.open > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
 		close(s.empty)
 	}
-	s.mu.Unlock()
 }
 
 // errAhead is a request, or noise, behind one that has no answer yet.
@@ -242,9 +253,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
-	if s.open == 0 {
-		close(s.empty)
-	}
+	s.ended()
 	for _, l := range []*list.List{s.fresh, s.waiting} {
 		for e := l.Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*client); !c.begun {
--- /dev/null
+++ b/proxy/drain_test.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"oxbowloft/internal/standin"
+)
+
+// ended waits for the end of Run.
+func ended(t *testing.T, done <-chan error) {
+	t.Helper()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("still runs")
+	}
+}
+
+// A drain that finds no descriptor left, and requests that outlast it, ends in time: what
+// is in flight is answered at its end, and what waits in the kernel gets the descriptors
+// that this frees, and its answer. Guards against a drain that waits for a descriptor for
+// as long as deadlines are.
+func TestDrainWithNoDescriptorLeft(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("drain", func(t *testing.T) {
+		b := standin.NewBackend(t, (*standin.Call).Hang)
+		p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+		p.cfg.Grace, p.longest, p.shortest = time.Millisecond, time.Minute, 300*time.Millisecond
+		p.slack = 20 * time.Second // the verdict is not the machine's
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- p.Run(ctx) }()
+		eventually(t, "ready", p.Ready)
+		send := func(id int, class string) net.Conn {
+			c := dial(t, p)
+			io.WriteString(c, strings.Replace(text(class, 60_000), "ID: 1", fmt.Sprint("ID: ", id), 1))
+			return c
+		}
+		asked := []net.Conn{send(1, "get"), send(2, "pay")}
+		eventually(t, "two attempts", func() bool { return b.Calls() == 2 })
+		p.sockets.mu.Lock()
+		p.sockets.limit = 4 // both, and their backend's
+		p.sockets.mu.Unlock()
+		if _, err := io.ReadAll(dial(t, p)); err != nil { // the last that is accepted makes room
+			t.Error(err)
+		}
+		eventually(t, "none is left", func() bool {
+			used, _ := p.sockets.inUse()
+			return used == 4 && p.clients.count() == 2
+		})
+		asked = append(asked, send(3, "get"), send(4, "pay"))
+		cancel()
+		for i, c := range asked {
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("request %d: %v", i, err)
+			} else if !resp.Close || resp.StatusCode != 503 && resp.StatusCode != 502 {
+				t.Errorf("request %d: %+v", i, resp)
+			}
+			c.Close()
+		}
+		ended(t, done)
+		if used, _ := p.sockets.inUse(); used != 0 {
+			t.Errorf("%d descriptors are kept", used)
+		}
+	})
+}
+
+// A proxy that is told to end before it listens does not begin.
+func TestEndBeforeStart(t *testing.T) {
+	p := listening(t, standin.List(1, true), "127.0.0.1:1")
+	p.listener.Close()
+	p.state.close()
+	p.listener = nil
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := p.Run(ctx); err != nil || p.Phase() != Stopped || p.listener != nil {
+		t.Errorf("%v in phase %v", err, p.Phase())
+	}
+}
+
+// A connection that was caught in the kernel and comes when all others have gone ends as
+// the others did.
+func TestAcceptedBehindTheLast(t *testing.T) {
+	s := newClients()
+	s.add()
+	empty := s.close()
+	s.remove()
+	<-empty
+	s.add()
+	s.remove() // would end the program
+}
+
+// A listener's wait for a descriptor ends when it is told to, also where it has begun.
+func TestWaitForDescriptorEnds(t *testing.T) {
+	s := newSockets(ownSockets + 1)
+	s.relieve = func(int) {}
+	if !s.wait() {
+		t.Fatal("none of one")
+	}
+	got := make(chan bool)
+	go func() { got <- s.wait() }()
+	s.waitUntil(time.Now())
+	if <-got {
+		t.Error("got one over the budget")
+	}
+	s.Give()
+	if !s.wait() {
+		t.Error("none where one was given back")
+	}
+}
--- a/proxy/linger_test.go
+++ b/proxy/linger_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,13 @@
 	once sync.Once
 	late func()
 	shut bool // its write side was ended
+
+	until atomic.Value // time.Time: what its next read may take
+}
+
+func (c *crossed) SetReadDeadline(t time.Time) error {
+	c.until.Store(t)
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 func (c *crossed) CloseWrite() error {
@@ -321,13 +329,16 @@
 			p := listening(t, standin.List(1, true), "127.0.0.1:1")
 			defer p.listener.Close()
 			p.clients.freshLeast = time.Hour
-			nc, _, ended := crossing(t, p, "")
+			nc, at, ended := crossing(t, p, "")
 			eventually(t, "waiting", func() bool {
 				p.clients.mu.Lock()
 				defer p.clients.mu.Unlock()
 				return p.clients.fresh.Len() == 1
 			})
 			needed(p)
+			if at.until.Load().(time.Time).Before(time.Now()) {
+				t.Error("closed at once")
+			}
 			if status, _ := ask(t, nc, "get", 2000); status != 503 {
 				t.Errorf("got %d", status)
 			}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -56,6 +56,7 @@
 	defaultDial   = time.Second
 	acceptBackoff = 5 * time.Millisecond
 	restEach      = 5 * time.Millisecond
+	restLeast     = time.Millisecond
 	restMost      = 100 * time.Millisecond
 	// transferShare is the part of the heap that long messages under way may hold.
 	transferShare = 0.25
@@ -68,7 +69,8 @@
 	classes   map[string]int
 	longest   time.Duration // deadline
 	shortest  time.Duration
-	end       atomic.Int64 // of a drain, in Unix nanoseconds: no answer comes after it
+	slack     time.Duration // finishSlack, but for tests
+	end       atomic.Int64  // of a drain, in Unix nanoseconds: no answer comes after it
 	sockets   *sockets
 	clients   *clients
 	transfers *http1.Transfers
@@ -101,6 +103,7 @@
 		classes: map[string]int{},
 		stats:   newStats(len(cfg.logic.Classes)),
 		limits:  cfg.Limits,
+		slack:   finishSlack,
 	}
 	p.sockets = newSockets(cfg.Limits.Sockets - p.doorSockets())
 	for i, c := range cfg.logic.Classes {
@@ -234,6 +237,10 @@
 // returns once nothing is in flight.
 func (p *Proxy) Run(ctx context.Context) error {
 	if p.listener == nil {
+		if ctx.Err() != nil { // told to end before it began: nobody has connected
+			p.enter(Stopped)
+			return nil
+		}
 		if err := p.Listen(); err != nil {
 			return err
 		}
@@ -268,7 +275,7 @@
 		p.driver.end()
 		select {
 		case <-p.clients.empty:
-		case <-time.After(finishSlack):
+		case <-time.After(p.slack):
 			if p.clients.hurryAll() > 0 {
 				log.Printf("event=cut_off err=%q", "requests in flight past the end of the drain")
 			} else {
@@ -304,6 +311,7 @@
 	p.enter(Draining)
 	if p.cfg.ListenFD != 0 { // another process accepts, and what waits in the kernel is its
 		p.listener.SetDeadline(time.Unix(1, 0))
+		p.sockets.waitUntil(time.Now())
 		select {
 		case <-accepted:
 			p.listener.Close()
@@ -312,10 +320,16 @@
 			log.Printf("event=accept_caught")
 		}
 	} else {
-		p.listener.SetDeadline(time.Now().Add(p.cfg.Grace))
+		over := time.Now().Add(p.cfg.Grace)
+		p.listener.SetDeadline(over)
+		p.sockets.waitUntil(over)
 		<-accepted
-		p.acceptRest()
-		p.listener.Close()
+		p.clients.add() // what waits in the kernel is a client, too: nothing ends before it
+		go func() {
+			defer p.clients.remove()
+			p.acceptRest(end.Add(p.slack / 2))
+			p.listener.Close()
+		}()
 	}
 	for p.clients.count() > 0 && time.Now().Before(end.Add(-p.shortest/hardlyFits)) {
 		time.Sleep(drainedEvery)
@@ -348,10 +362,9 @@
 func (p *Proxy) accept() error {
 	for {
 		err := p.acceptOne()
-		var ne net.Error
 		switch {
 		case err == nil:
-		case errors.Is(err, net.ErrClosed) || errors.As(err, &ne) && ne.Timeout():
+		case timedOut(err):
 			return err
 		default:
 			log.Printf("event=accept_failed err=%q", err)
@@ -361,7 +374,14 @@
 }
 
 func (p *Proxy) acceptOne() error {
-	p.sockets.wait()
+	if !p.sockets.wait() {
+		return os.ErrDeadlineExceeded
+	}
+	return p.acceptNow()
+}
+
+// acceptNow takes one connection, for which there is a descriptor.
+func (p *Proxy) acceptNow() error {
 	p.neverBlocks()
 	nc, err := p.listener.Accept()
 	if err != nil {
@@ -374,16 +394,37 @@
 }
 
 // acceptRest takes the connections that the kernel had accepted when the grace
-// was over. Guards against closing on them: what was sent on one would be lost.
-func (p *Proxy) acceptRest() {
-	for end := time.Now().Add(restMost); time.Now().Before(end); {
-		p.listener.SetDeadline(time.Now().Add(restEach))
-		if p.acceptOne() != nil {
+// was over, until none is left. Guards against closing on them: what was sent on one would
+// be lost. Where no descriptor is left they wait for one, past the answers that the end
+// brings, if need be. Callers may go on coming: after restMost the first moment in which
+// none waits is the end.
+func (p *Proxy) acceptRest(end time.Time) {
+	p.sockets.waitUntil(end)
+	for few := time.Now().Add(restMost); time.Now().Before(end); {
+		if !p.sockets.wait() {
 			return
 		}
+		each := restEach // not begun before there is a descriptor
+		if time.Now().After(few) {
+			each = restLeast
+		}
+		p.listener.SetDeadline(time.Now().Add(each))
+		switch err := p.acceptNow(); {
+		case timedOut(err):
+			return
+		case err != nil:
+			log.Printf("event=accept_failed err=%q", err)
+			time.Sleep(acceptBackoff)
+		}
 	}
 }
 
+// timedOut tells whether an error of accepting says that nobody is there. Others are
+// those of one connection, or of the moment.
+func timedOut(err error) bool {
+	return err != nil && (errors.Is(err, net.ErrClosed) || http1.TimedOut(err))
+}
+
 // serve takes one request after another from a client.
 func (p *Proxy) serve(c *client) {
 	defer p.clients.remove()
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -319,7 +319,7 @@
 	if err := p.accept(); err == nil {
 		t.Fatal("still accepting")
 	}
-	p.acceptRest()
+	p.acceptRest(time.Now().Add(20 * time.Second))
 	p.listener.Close()
 	for i, c := range conns {
 		// An answer, whatever the module says to so many at once.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -362,7 +362,7 @@
 
 // passLong writes an answer with a rest, as it comes. A client that reads HTTP/1.0 gets
 // one of unknown size until the connection's end.
-func (p *Proxy) passLong(c *client, req *http.Request, got *upstream.Answer, header []string, last bool) error {
+func (p *Proxy) passLong(c *client, req *http.Request, got *upstream.Answer, header []string, last bool) (err error) {
 	old, first := !req.ProtoAtLeast(1, 1), got.Body
 	switch {
 	case got.Rest.Size >= 0:
@@ -371,6 +371,18 @@
 		header = append(header, "Transfer-Encoding", "chunked")
 		first = http1.Chunk(first)
 	}
+	if old && got.Rest.Size < 0 {
+		// The connection's end is the answer's: until that is here, any other end is a
+		// reset, also the one that the kernel makes of ours.
+		if t, ok := c.conn.Conn.(interface{ SetLinger(int) error }); ok {
+			t.SetLinger(0)
+			defer func() {
+				if err == nil {
+					t.SetLinger(-1)
+				}
+			}()
+		}
+	}
 	within := upstream.Progress(c.conn.SetWriteDeadline)
 	within(0)
 	if _, err := c.conn.Write(answerText(got.Status, header, first, last)); err != nil {
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // sockets is the budget of descriptors: client connections and those to
 // backends draw on it; what else the process holds is left out of it. Near its
@@ -15,6 +18,7 @@
 
 	// relieve closes or hurries idle connections: too many by excess.
 	relieve func(excess int)
+	until   time.Time // no client waits any longer; zero: no bound
 }
 
 const (
@@ -50,15 +54,33 @@
 	return true
 }
 
-// wait takes a descriptor for a client, once there is one.
-func (s *sockets) wait() {
+// waitUntil bounds the wait for a descriptor, also one that is under way: guards against
+// a drain that hangs on it.
+func (s *sockets) waitUntil(t time.Time) {
+	s.mu.Lock()
+	s.until = t
+	s.mu.Unlock()
+	time.AfterFunc(time.Until(t), func() {
+		s.mu.Lock() // who has seen that there is time left is waiting by now
+		defer s.mu.Unlock()
+		s.freed.Broadcast()
+	})
+}
+
+// wait takes a descriptor for a client, once there is one. It returns false where there
+// is none in time.
+func (s *sockets) wait() bool {
 	s.relieveIfNear()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.used >= s.limit {
+		if !s.until.IsZero() && !time.Now().Before(s.until) {
+			return false
+		}
 		s.freed.Wait()
 	}
 	s.take()
+	return true
 }
 
 func (s *sockets) take() {
