Tests: the end of a proxy meets reloads, lists, bans, relief and clients that leave

It guards the pairs: each goes on from before the end until after it, every request that was taken gets its answer, Run returns, and no goroutine is left.

--- /dev/null
+++ b/proxy/end_test.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/standin"
+)
+
+// Whatever goes on while a proxy ends, it ends: by itself, with nothing left behind, and
+// with an answer to each request that it took. Each case goes on from before the end until
+// after it, so that the two meet in every state.
+func TestEndMeets(t *testing.T) {
+	ids := make(chan int)
+	over := make(chan bool)
+	defer close(over)
+	go func() {
+		for id := 1; ; id++ {
+			select {
+			case ids <- id:
+			case <-over:
+				return
+			}
+		}
+	}()
+	request := func(class string, ms int) string {
+		return strings.Replace(text(class, ms), "ID: 1", fmt.Sprint("ID: ", <-ids), 1)
+	}
+	for name, with := range map[string]func(t *testing.T, p *Proxy, cfg *Config, addr string){
+		"reload": func(_ *testing.T, p *Proxy, cfg *Config, _ string) {
+			if err := p.Reload(cfg); err != nil {
+				t.Error(err)
+			}
+		},
+		"lists": func(_ *testing.T, p *Proxy, _ *Config, _ string) {
+			id := <-ids
+			gone := fmt.Sprintf(`{"uid":"s-%d","state":"terminated"}`, id-1)
+			l, err := discovery.Parse([]byte(standin.List(2, false, gone, standin.Target(fmt.Sprint("s-", id), "127.0.0.1:1"))))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			p.driver.list(l)
+		},
+		"bans": func(_ *testing.T, p *Proxy, _ *Config, _ string) {
+			operated{p}.Detach("s-0")
+			operated{p}.Attach("s-0")
+		},
+		"relief": func(_ *testing.T, p *Proxy, _ *Config, _ string) { p.relieve(3) },
+		"clients that leave at once": func(_ *testing.T, p *Proxy, _ *Config, addr string) {
+			if c, err := net.Dial("tcp", addr); err == nil {
+				io.WriteString(c, request("get", 300))
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		},
+		"clients that send on": func(_ *testing.T, p *Proxy, _ *Config, addr string) {
+			if c, err := net.Dial("tcp", addr); err == nil {
+				io.WriteString(c, request("get", 300)+"noise")
+				c.Close()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+			t.Run("life", func(t *testing.T) {
+				b := standin.NewBackend(t, func(c *standin.Call) {
+					if c.N%3 == 0 {
+						c.Hang()
+					} else {
+						standin.Echo(c)
+					}
+				})
+				list := standin.List(1, true, standin.Target("s-0", b.Addr()))
+				p := listening(t, list, "127.0.0.1:1")
+				p.sockets.resize(ownSockets + 16)
+				p.cfg.Grace, p.longest, p.shortest = 50*time.Millisecond, 300*time.Millisecond, 300*time.Millisecond
+				path := filepath.Join(t.TempDir(), "config.json")
+				if err := os.WriteFile(path, []byte(standin.Config("127.0.0.1:0", "127.0.0.1:2", 33, list)), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				cfg, err := Load(path, os.Getenv)
+				if err != nil {
+					t.Fatal(err)
+				}
+				addr := p.Addr().String()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				done := make(chan error, 1)
+				go func() { done <- p.Run(ctx) }()
+				eventually(t, "ready", p.Ready)
+				asked := make([]net.Conn, 4)
+				for i := range asked { // taken before the end
+					asked[i] = dial(t, p)
+					io.WriteString(asked[i], request("pay", 60_000))
+				}
+				eventually(t, "taken", func() bool {
+					return p.stats.open.Load()+p.stats.ended(fulfilled)+p.stats.ended(throttled)+p.stats.ended(faulted) >= 4
+				})
+				stop := make(chan bool)
+				var tasks sync.WaitGroup
+				for range 2 {
+					tasks.Go(func() {
+						for {
+							select {
+							case <-stop:
+								return
+							default:
+								with(t, p, cfg, addr)
+								time.Sleep(time.Millisecond)
+							}
+						}
+					})
+				}
+				cancel()
+				for i, c := range asked {
+					if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+						t.Errorf("request %d: %v", i, err)
+					}
+				}
+				ended(t, done)
+				close(stop)
+				tasks.Wait()
+			})
+		})
+	}
+}
