Descriptors: a part each for clients and backends, and room made at once when one waits

Cause: attempts got no descriptor once seven eighths of the budget were in use, also where clients that stood idle held all of it, as they do when discovery is down. Backends could take all of a small budget. A client that became idle while another waited kept its own for up to 3 s, and a crowd of silent ones gave way by a few at a time.

Change: an eighth of the budget, one at least, is for backends alone, as much for clients. While a client waits for a descriptor, all new ones that have sent no whole request in 20 ms give way, and where there is none of these, those that become idle.

Measured: with the old rule TestSocketsParts fails for budgets of 2, 6, 16 and 240, and TestCrowdLeavesRoom gets 503; without the close of idle ones TestIdleMakesRoom waits for 20 s.

--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -23,6 +23,7 @@
 	freshLeast  time.Duration // from the accept to a close that makes room
 	lingerLimit time.Duration // from the end of writing to the close
 	short       func() bool   // descriptors run short
+	wanted      func() bool   // a client waits for one
 
 	mu        sync.Mutex
 	fresh     *list.List // of *client that wait for their first request, oldest first
@@ -79,6 +80,7 @@
 		waiting:     list.New(),
 		lingering:   list.New(),
 		short:       func() bool { return false },
+		wanted:      func() bool { return false },
 		empty:       make(chan struct{}),
 	}
 }
@@ -150,7 +152,9 @@
 	}
 	c.place = s.listOf(c).PushBack(c)
 	c.conn.SetReadDeadline(c.since.Add(limit))
-	if s.closing {
+	// Where one waits for a descriptor and no other is about to give way, nobody else may
+	// for as long as this one may be idle.
+	if s.closing || c.asked && s.fresh.Len()+s.lingering.Len() == 0 && s.wanted() {
 		s.nudge(c)
 	}
 }
@@ -224,6 +228,9 @@
 		n--
 	}
 	now := time.Now()
+	if s.wanted() { // guards against a crowd of silent ones that gives way by a few at a time
+		s.nudgeBefore(s.fresh, s.fresh.Len(), now.Add(-s.freshLeast))
+	}
 	n = s.nudgeBefore(s.fresh, n, now.Add(-s.freshLeast))
 	n = s.nudgeBefore(s.waiting, n, now.Add(-idleLeast))
 	n = s.nudgeBefore(s.fresh, n, now)
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -53,7 +53,7 @@
 		asked := []net.Conn{send(1, "get"), send(2, "pay")}
 		eventually(t, "two attempts", func() bool { return b.Calls() == 2 })
 		p.sockets.mu.Lock()
-		p.sockets.limit = 4 // both, and their backend's
+		p.sockets.limit = 4 // both, and their backend's two
 		p.sockets.mu.Unlock()
 		if _, err := io.ReadAll(dial(t, p)); err != nil { // the last that is accepted makes room
 			t.Error(err)
@@ -107,7 +107,7 @@
 
 // A listener's wait for a descriptor ends when it is told to, also where it has begun.
 func TestWaitForDescriptorEnds(t *testing.T) {
-	s := newSockets(ownSockets + 1)
+	s := newSockets(ownSockets + 2) // one is the backends'
 	s.relieve = func(int) {}
 	if !s.wait() {
 		t.Fatal("none of one")
@@ -118,7 +118,7 @@
 	if <-got {
 		t.Error("got one over the budget")
 	}
-	s.Give()
+	s.leave()
 	if !s.wait() {
 		t.Error("none where one was given back")
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -134,7 +134,7 @@
 		log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
 		p.driver.list(l)
 	}
-	p.sockets.relieve, p.clients.short = p.relieve, p.sockets.short
+	p.sockets.relieve, p.clients.short, p.clients.wanted = p.relieve, p.sockets.short, p.sockets.wanted
 	p.driver.list(cfg.known)
 	return p, nil
 }
@@ -386,7 +386,7 @@
 	p.neverBlocks()
 	nc, err := p.listener.Accept()
 	if err != nil {
-		p.sockets.Give()
+		p.sockets.leave()
 		return err
 	}
 	p.clients.add()
@@ -429,7 +429,7 @@
 // serve takes one request after another from a client.
 func (p *Proxy) serve(c *client) {
 	defer p.clients.remove()
-	defer p.sockets.Give()
+	defer p.sockets.leave()
 	defer c.conn.Close()
 	for p.exchange(c) {
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -283,7 +283,7 @@
 		t.Error("a client got one over the budget")
 	case <-time.After(20 * time.Millisecond):
 	}
-	s.Give()
+	s.leave()
 	<-got
 	if used, most := s.inUse(); used != 16 || most != 16 {
 		t.Errorf("%d in use, %d at most", used, most)
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -7,14 +7,17 @@
 
 // sockets is the budget of descriptors: client connections and those to
 // backends draw on it; what else the process holds is left out of it. Near its
-// end idle connections are closed. The last part is for clients alone: what
-// the kernel has accepted must be taken, and can be refused.
+// end idle connections are closed. Each side has a part that the other can't take: what
+// the kernel has accepted must be taken, and can be refused; and a request that has been
+// taken needs a backend, however many clients stand idle.
 type sockets struct {
-	mu    sync.Mutex
-	freed *sync.Cond
-	used  int
-	limit int
-	most  int // that were ever in use
+	mu       sync.Mutex
+	freed    *sync.Cond
+	used     int
+	backends int // of these
+	limit    int
+	most     int  // that were ever in use
+	waiting  bool // a client does
 
 	// relieve closes or hurries idle connections: too many by excess.
 	relieve func(excess int)
@@ -23,7 +26,7 @@
 
 const (
 	ownSockets   = 16        // listener, discovery, poller, standard streams, a dial under way
-	clientsOwn   = 1.0 / 8   // of the budget, for clients alone
+	ownPart      = 8         // the budget by this is for clients alone, and as much for backends
 	relieveAbove = 3.0 / 4.0 // of the budget in use
 )
 
@@ -47,13 +50,22 @@
 	s.relieveIfNear()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if float64(s.used) >= (1-clientsOwn)*float64(s.limit) {
+	if s.backends+max(s.used-s.backends, s.own()) >= s.limit {
 		return false
 	}
+	s.backends++
 	s.take()
 	return true
 }
 
+// own is the least part of each side: one at least, without which nothing is served.
+func (s *sockets) own() int { return max(1, s.limit/ownPart) }
+
+// crowded tells whether no other client can be taken. The caller holds mu.
+func (s *sockets) crowded() bool {
+	return s.used-s.backends+max(s.backends, s.own()) >= s.limit
+}
+
 // waitUntil bounds the wait for a descriptor, also one that is under way: guards against
 // a drain that hangs on it.
 func (s *sockets) waitUntil(t time.Time) {
@@ -73,23 +85,47 @@
 	s.relieveIfNear()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.used >= s.limit {
+	defer func() { s.waiting = false }()
+	for s.crowded() {
 		if !s.until.IsZero() && !time.Now().Before(s.until) {
 			return false
 		}
+		if !s.waiting { // who becomes idle from now on makes room by itself
+			s.waiting = true
+			s.mu.Unlock()
+			s.relieveIfNear()
+			s.mu.Lock()
+			continue
+		}
 		s.freed.Wait()
 	}
 	s.take()
 	return true
 }
 
+// wanted tells whether a client waits for a descriptor.
+func (s *sockets) wanted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
 func (s *sockets) take() {
 	s.used++
 	s.most = max(s.most, s.used)
 }
 
-// Give gives one back.
+// Give gives one of a backend's back.
 func (s *sockets) Give() {
+	s.mu.Lock()
+	s.backends--
+	s.used--
+	s.mu.Unlock()
+	s.freed.Signal()
+}
+
+// leave gives one of a client's back.
+func (s *sockets) leave() {
 	s.mu.Lock()
 	s.used--
 	s.mu.Unlock()
--- /dev/null
+++ b/proxy/sockets_test.go
@@ -0,0 +1,113 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// Neither side can take the other's part, whichever comes first, also where the budget is
+// the least that a process can have.
+func TestSocketsParts(t *testing.T) {
+	for _, c := range []struct{ budget, part int }{{2, 1}, {6, 1}, {16, 2}, {240, 30}} {
+		s := newSockets(ownSockets + c.budget)
+		s.relieve = func(int) {}
+		s.waitUntil(time.Now()) // what can't be had at once can't be had
+		clients, backends := 0, 0
+		for s.wait() {
+			clients++
+		}
+		for s.Take() {
+			backends++
+		}
+		if clients != c.budget-c.part || backends != c.part {
+			t.Errorf("%d: clients first got %d, backends %d", c.budget, clients, backends)
+		}
+		s = newSockets(ownSockets + c.budget)
+		s.relieve = func(int) {}
+		s.waitUntil(time.Now())
+		clients, backends = 0, 0
+		for s.Take() {
+			backends++
+		}
+		for s.wait() {
+			clients++
+		}
+		if backends != c.budget-c.part || clients != c.part {
+			t.Errorf("%d: backends first got %d, clients %d", c.budget, backends, clients)
+		}
+		if used, _ := s.inUse(); used != c.budget {
+			t.Errorf("%d: %d in use", c.budget, used)
+		}
+	}
+}
+
+// With as many silent clients as there can be and discovery down, a request of one of them
+// gets a connection to a backend and its answer, the operators' door and /healthz answer,
+// and the list is followed once discovery is back. Guards against clients that hold every
+// descriptor by doing nothing.
+func TestCrowdLeavesRoom(t *testing.T) {
+	b, moved := standin.NewBackend(t, standin.Echo), standin.NewBackend(t, standin.Echo)
+	known := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	d := standin.NewDiscovery(t, known)
+	d.Down(true)
+	p := listening(t, known, d.Addr())
+	p.sockets.resize(ownSockets + 8)
+	// None of the crowd makes room.
+	p.clients.freshLeast, p.clients.newLimit, p.clients.idleLimit = time.Hour, time.Hour, time.Hour
+	defer running(t, p)()
+	var crowd []net.Conn
+	for range 12 {
+		crowd = append(crowd, dial(t, p))
+	}
+	defer func() {
+		for _, c := range crowd {
+			c.Close()
+		}
+	}()
+	eventually(t, "a crowd that takes all it can", p.sockets.wanted)
+	io.WriteString(crowd[0], text("get", 2000))
+	if resp, _ := read(t, crowd[0]); resp.StatusCode != 200 {
+		t.Errorf("got %d", resp.StatusCode)
+	}
+	crowd[0].Close()
+	eventually(t, "full again", p.sockets.wanted)
+	io.WriteString(crowd[1], "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+	if resp, _ := read(t, crowd[1]); resp.StatusCode != 200 {
+		t.Errorf("healthz: got %d", resp.StatusCode)
+	}
+	crowd[1].Close()
+	d.Down(false)
+	eventually(t, "a new list", func() bool {
+		d.Push(standin.List(2, true, standin.Target("s-1", b.Addr()), standin.Target("s-2", moved.Addr())))
+		return p.driver.known() == 2
+	})
+}
+
+// A client that becomes idle while another waits for a descriptor makes room for it, also
+// where its answer still said that the connection stays.
+func TestIdleMakesRoom(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+	defer p.listener.Close()
+	p.clients.idleLimit = time.Hour
+	nc, _, ended := crossing(t, p, "")
+	p.clients.mu.Lock()
+	p.clients.wanted = func() bool { return true } // from now on
+	p.clients.mu.Unlock()
+	io.WriteString(nc, text("get", 2000))
+	if resp, _ := read(t, nc); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("got %d, close %t", resp.StatusCode, resp.Close)
+	}
+	if n, err := nc.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("%d bytes, %v, want the end", n, err)
+	}
+	nc.Close()
+	<-ended
+	for _, b := range p.driver.all() {
+		b.Close()
+	}
+}
