Freshness: after a new source nothing counts later until it has told

Cause: after SIGHUP all that discovery has counts as told 4 s later; what a backend did in those 4 s says nothing of a change that counts at their end. The lag of 6 s was kept over a move.

Change: a move is as a silence until the new source has told.

Seen: TestFresh fails in both moved cases without it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -148,7 +148,7 @@
 	behind int           // watches in a row that began with an older whole list
 	moved  chan struct{} // closed when addr is another
 	fresh  time.Time     // until then the list holds all that counts as told
-	silent bool          // a call or watch has said nothing, and no list has come since
+	silent bool          // nothing is heard, since a call or watch fell silent or the source moved
 }
 
 // New returns a client that has the list of version rev.
@@ -182,7 +182,7 @@
 	if addr == c.addr {
 		return false
 	}
-	c.addr, c.rev, c.behind = addr, 0, 0
+	c.addr, c.rev, c.behind, c.silent = addr, 0, 0, true
 	close(c.moved)
 	c.moved = make(chan struct{})
 	c.freshUntil(earlier(c.fresh, time.Now().Add(tellMoved)))
