--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -13,7 +13,9 @@
 
 	"go.uber.org/goleak"
 
+	"oxbowloft/internal/http1"
 	"oxbowloft/internal/standin"
+	"oxbowloft/logic"
 )
 
 // ended waits for the end of Run.
@@ -123,3 +125,58 @@
 		t.Error("none where one was given back")
 	}
 }
+
+// A request that waits for its backoff when the process ends gets its answer at once, and no
+// attempt follows.
+func TestEndInBackoff(t *testing.T) {
+	list := standin.List(1, true, standin.Target("s-1", "127.0.0.1:1"), standin.Target("s-2", "127.0.0.1:2"))
+	p := listening(t, list, "127.0.0.1:1")
+	defer p.listener.Close()
+	r := p.driver.arrive("1", 0, time.Hour, false, false)
+	p.driver.done(r, <-r.steps, logic.NoConnect, false, false)
+	if r.timer == nil || len(r.steps) > 0 {
+		t.Fatal("no backoff")
+	}
+	p.driver.end()
+	if s := within(t, "an answer", r.steps); s.kind != stepRefuse || s.comeBack <= 0 {
+		t.Errorf("got %+v, want to be told to come back", s)
+	}
+	r.timer.Reset(0) // its end comes all the same, and nothing of it
+	eventually(t, "the backoff is over", func() bool { return !r.timer.Stop() })
+	p.driver.forget(r)
+	if len(r.steps) > 0 {
+		t.Errorf("then %+v", <-r.steps)
+	}
+}
+
+// A request whose body is still coming when the process is told to end is served, if it comes
+// in time, both one that is read whole and one that passes through.
+func TestDrainInBody(t *testing.T) {
+	for _, size := range []int{1000, 2 * http1.MaxBody} {
+		b := standin.NewBackend(t, func(c *standin.Call) { c.Reply(200, fmt.Sprint(len(c.Text))) })
+		p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+		p.cfg.Grace, p.longest, p.slack = time.Millisecond, time.Minute, 20*time.Second // ample on any machine
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- p.Run(ctx) }()
+		eventually(t, "ready", p.Ready)
+		c := dial(t, p)
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: 1\r\nX-Priority-Class: pay\r\n"+
+			"X-Timeout-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
+		eventually(t, "it has begun to come", func() bool {
+			p.clients.mu.Lock()
+			defer p.clients.mu.Unlock()
+			e := p.clients.fresh.Front()
+			return p.clients.open == 1 && (p.clients.fresh.Len() == 0 || e.Value.(*client).begun)
+		})
+		cancel()
+		eventually(t, "a drain", func() bool { return p.Phase() == Draining })
+		io.WriteString(c, strings.Repeat("x", size-size/2))
+		resp, body := read(t, c)
+		if resp.StatusCode != 200 || body != fmt.Sprint(size) {
+			t.Errorf("%d bytes: got %d %q", size, resp.StatusCode, body)
+		}
+		c.Close()
+		ended(t, done)
+	}
+}
