--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,6 +62,13 @@
 	transferShare = 0.25
 )
 
+// listener is what a proxy asks of its listening socket.
+type listener interface {
+	net.Listener
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
+
 // Proxy is one balancer on sockets.
 type Proxy struct {
 	cfg       *Config // of the start
@@ -77,7 +84,7 @@
 	driver    *driver
 	list      *discovery.Client
 	stats     *stats
-	listener  *net.TCPListener
+	listener  listener
 	door      *admin.Door // nil: none
 	tasks     sync.WaitGroup
 
@@ -188,7 +195,7 @@
 	} else {
 		var ln net.Listener
 		if ln, err = net.Listen("tcp", p.cfg.Listen); err == nil {
-			p.listener = ln.(*net.TCPListener)
+			p.listener = ln.(listener)
 		}
 	}
 	if err != nil {
@@ -210,7 +217,7 @@
 }
 
 // inherited is the listener at a descriptor that the platform has left to us.
-func inherited(fd int) (*net.TCPListener, error) {
+func inherited(fd int) (listener, error) {
 	// Looked at first: a descriptor that is none may be one of the runtime's own.
 	listens, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
 	if err != nil {
