Say what a socket error means in one place: an errno is no deadline

Cause: http1.TimedOut asked net.Error's Timeout(), which is also true of ETIMEDOUT and EAGAIN. An answer without a length that broke so was served as whole, a client whose connection broke so was not told to have gone, and an accept that passed on such an error of a new connection ended the process.

Change: internal/neterror has one table of errno by call, with a meaning; http1, upstream, the proxy's clients and its accepts go by it. An accept that fails goes on unless the listener is closed or its deadline is over; its log lines are one a second at most, with the count of those left out (internal/logging). EINTR of poll and recv is called again.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"oxbowloft/internal/neterror"
 )
 
 // Sizes of a message. What is larger ends as ErrHeadTooLarge or ErrBodyTooLarge.
@@ -42,12 +44,6 @@
 	ErrInterrupted  = errors.New("interrupted")
 )
 
-// TimedOut tells whether err is that of a deadline.
-func TimedOut(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // Conn is a connection with its buffer. Its methods are for one goroutine,
 // but for those of net.Conn.
 type Conn struct {
@@ -133,7 +129,7 @@
 	c.end += n
 	if n > 0 {
 		// A reset may come with the last bytes and be told this once.
-		if err != nil && !TimedOut(err) {
+		if err != nil && !neterror.IsDeadline(err) {
 			c.late = err
 		}
 		return nil
@@ -258,7 +254,7 @@
 	if c := r.c; !r.over && r.br.Buffered() == 0 && c.pos == c.end {
 		c.start = c.pos
 		switch err := c.fill(); {
-		case c.interrupted.Load() && (err == ErrInterrupted || TimedOut(err)):
+		case c.interrupted.Load() && (err == ErrInterrupted || neterror.IsDeadline(err)):
 			return 0, ErrInterrupted
 		case err != nil && !errors.Is(err, io.EOF):
 			c.err = err
@@ -407,11 +403,11 @@
 			}
 			// Where its end is here already, it is no first part: a reset must not be
 			// found out only once a part has been passed on.
-			if TimedOut(err) && !time.Now().Before(until) && len(body) > 0 && !c.PeerClosed() {
+			if neterror.IsDeadline(err) && !time.Now().Before(until) && len(body) > 0 && !c.PeerClosed() {
 				return part{body: body, from: r, size: -1}, nil
 			}
 			// A reset is told once, and then looks like an end.
-			if err != nil && !TimedOut(err) && !errors.Is(err, io.EOF) {
+			if err != nil && !neterror.IsDeadline(err) && !errors.Is(err, io.EOF) {
 				c.err = err
 				return part{}, err
 			}
@@ -481,7 +477,12 @@
 	}
 	failed := c.raw.Control(func(fd uintptr) {
 		var one [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for {
+			n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if err != syscall.EINTR {
+				return
+			}
+		}
 	})
 	if failed != nil {
 		return 0, failed
@@ -504,6 +505,9 @@
 	failed := c.raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(p, 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(p, 0)
+		}
 		closed = err == nil && n > 0 && p[0].Revents&unix.POLLNVAL == 0 &&
 			p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
@@ -522,7 +526,7 @@
 		defer close(c.watch)
 		for c.Buffered() == 0 {
 			if err := c.fill(); err != nil {
-				if !TimedOut(err) {
+				if !neterror.IsDeadline(err) {
 					c.err = err
 					gone()
 				}
--- a/internal/http1/errno_test.go
+++ b/internal/http1/errno_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"oxbowloft/internal/neterror"
 )
 
 // brokenConn is a connection that a read finds broken, as the kernel tells it: what came,
@@ -75,7 +77,7 @@
 	c, _ := tcp(t)
 	c.SetReadDeadline(time.Now().Add(-time.Second))
 	_, err := c.Read(make([]byte, 1))
-	if !TimedOut(err) {
-		t.Errorf("TimedOut(%v) is false", err)
+	if !neterror.IsDeadline(err) {
+		t.Errorf("%v is not told as a deadline", err)
 	}
 }
--- a/internal/http1/floods_test.go
+++ b/internal/http1/floods_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"oxbowloft/internal/neterror"
 )
 
 // padded is a request of n bytes, of which 10 are its body.
@@ -225,7 +227,7 @@
 		c.Unwatch()
 		stopped.Store(true)
 		sender.Wait()
-		if _, _, _, err := c.ReadRequest(); err == nil || TimedOut(err) {
+		if _, _, _, err := c.ReadRequest(); err == nil || neterror.IsDeadline(err) {
 			t.Errorf("then read: %v", err)
 		}
 		c.Close()
--- /dev/null
+++ b/internal/neterror/neterror_test.go
@@ -0,0 +1,113 @@
+package neterror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// wrapped is an errno as the net package returns it.
+func wrapped(op, name string, errno syscall.Errno) error {
+	return fmt.Errorf("call: %w", &net.OpError{Op: op, Net: "tcp", Err: os.NewSyscallError(name, errno)})
+}
+
+// Each row is an errno that the manual pages name for a call, and what it means there.
+func TestErrnoByCall(t *testing.T) {
+	for _, row := range []struct {
+		call   Call
+		errnos []syscall.Errno
+		want   Meaning
+	}{
+		{Accept, []syscall.Errno{syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EPROTO, syscall.EPERM,
+			syscall.EOPNOTSUPP, syscall.ENOPROTOOPT}, Reset},
+		{Accept, []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENETUNREACH,
+			syscall.ENETDOWN, syscall.ENONET}, Lost},
+		{Accept, []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}, Local},
+		{Accept, []syscall.Errno{syscall.EAGAIN, syscall.EINTR}, Interrupted},
+		{Accept, []syscall.Errno{syscall.EINVAL, syscall.EBADF}, Unknown},
+		{Dial, []syscall.Errno{syscall.ECONNREFUSED}, Refused},
+		{Dial, []syscall.Errno{syscall.ECONNRESET, syscall.ECONNABORTED}, Reset},
+		{Dial, []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EHOSTDOWN}, Lost},
+		{Dial, []syscall.Errno{syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE,
+			syscall.EAGAIN, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EACCES,
+			syscall.EPERM}, Local},
+		{Dial, []syscall.Errno{syscall.EINTR}, Interrupted},
+		{Read, []syscall.Errno{syscall.ECONNRESET, syscall.ECONNABORTED, syscall.EPIPE, syscall.ENOTCONN,
+			syscall.ECONNREFUSED}, Reset},
+		{Read, []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENETUNREACH,
+			syscall.ENETDOWN, syscall.ENETRESET, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR}, Lost},
+		{Write, []syscall.Errno{syscall.EPIPE, syscall.ECONNRESET}, Reset},
+		{Write, []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENOBUFS}, Lost},
+	} {
+		for _, errno := range row.errnos {
+			err := wrapped("op", "call", errno)
+			if got := Of(row.call, err); got != row.want {
+				t.Errorf("call %d, %v: %v, want %v", row.call, errno, got, row.want)
+			}
+			if IsDeadline(err) {
+				t.Errorf("call %d, %v: taken for a deadline", row.call, errno)
+			}
+		}
+	}
+}
+
+// What is no errno means the same to each call.
+func TestNoErrno(t *testing.T) {
+	for _, row := range []struct {
+		err  error
+		want Meaning
+	}{
+		{nil, None},
+		{os.ErrDeadlineExceeded, Deadline},
+		{context.DeadlineExceeded, Deadline},
+		{context.Canceled, Canceled},
+		{net.ErrClosed, Closed},
+		{io.EOF, Ended},
+		{errors.New("else"), Unknown},
+	} {
+		err := row.err
+		if err != nil {
+			err = &net.OpError{Op: "op", Net: "tcp", Err: row.err}
+		}
+		for call := Accept; call <= Write; call++ {
+			if got := Of(call, err); got != row.want {
+				t.Errorf("call %d, %v: %v, want %v", call, err, got, row.want)
+			}
+		}
+	}
+}
+
+// The runtime's own errors, as they come.
+func TestRealErrors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.(*net.TCPListener).SetDeadline(time.Now().Add(-time.Second))
+	if _, err := ln.Accept(); Of(Accept, err) != Deadline {
+		t.Errorf("an accept past its deadline: %v", err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	if _, err := ln.Accept(); Of(Accept, err) != Closed {
+		t.Errorf("an accept at a closed listener: %v", err)
+	}
+	if _, err := net.Dial("tcp", addr); Of(Dial, err) != Refused {
+		t.Errorf("a dial where nobody listens: %v", err)
+	}
+	dialer := net.Dialer{Deadline: time.Now().Add(-time.Second)}
+	if _, err := dialer.Dial("tcp", addr); Of(Dial, err) != Deadline {
+		t.Errorf("a dial past its deadline: %v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr); Of(Dial, err) != Canceled {
+		t.Errorf("a dial that was given up: %v", err)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"oxbowloft/internal/http1"
+	"oxbowloft/internal/neterror"
 )
 
 // Stage is how far an exchange came.
@@ -114,7 +115,7 @@
 var errEarly = errors.New("answered before the request's end")
 
 // Timeout tells whether the exchange ended because its time was up.
-func (a *Answer) Timeout() bool { return http1.TimedOut(a.Err) }
+func (a *Answer) Timeout() bool { return neterror.IsDeadline(a.Err) }
 
 // Exchange sends one request and reads the answer, or the first part of a long one,
 // all within the request's time-out or until ctx is over. It tries once: what fails is
--- a/proxy/accept_test.go
+++ b/proxy/accept_test.go
@@ -44,7 +44,7 @@
 	stop := running(t, p)
 	defer stop()
 	for range errnos {
-		if code, body := ask(t, dial(t, p), "read", 2000); code != http.StatusOK {
+		if code, body := ask(t, dial(t, p), "get", 2000); code != http.StatusOK {
 			t.Fatalf("after an accept that failed: %d %q", code, body)
 		}
 	}
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oxbowloft/internal/http1"
+	"oxbowloft/internal/neterror"
 )
 
 // clients are the connections from callers. Those that wait for a request, or
@@ -129,7 +130,7 @@
 	defer s.done(c)
 	if err := c.conn.Await(); err != nil {
 		// A request that crossed the limit or the nudge is still served.
-		if !http1.TimedOut(err) || c.conn.Quiet() {
+		if !neterror.IsDeadline(err) || c.conn.Quiet() {
 			return nil, nil, nil, io.EOF
 		}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -19,6 +18,8 @@
 	"oxbowloft/internal/admin"
 	"oxbowloft/internal/discovery"
 	"oxbowloft/internal/http1"
+	"oxbowloft/internal/logging"
+	"oxbowloft/internal/neterror"
 	"oxbowloft/internal/settings"
 	"oxbowloft/internal/upstream"
 )
@@ -49,15 +50,16 @@
 	drainedEvery = 10 * time.Millisecond
 	// hardlyFits is the part of the shortest deadline, as a divisor, in which hardly an
 	// attempt fits.
-	hardlyFits    = 4
-	reapEvery     = 500 * time.Millisecond
-	statsEvery    = 10 * time.Second
-	defaultIdle   = 10 * time.Second
-	defaultDial   = time.Second
-	acceptBackoff = 5 * time.Millisecond
-	restEach      = 5 * time.Millisecond
-	restLeast     = time.Millisecond
-	restMost      = 100 * time.Millisecond
+	hardlyFits     = 4
+	reapEvery      = 500 * time.Millisecond
+	statsEvery     = 10 * time.Second
+	defaultIdle    = 10 * time.Second
+	defaultDial    = time.Second
+	acceptBackoff  = 5 * time.Millisecond
+	acceptLogEvery = time.Second // a flood of failures must not cost a line each
+	restEach       = 5 * time.Millisecond
+	restLeast      = time.Millisecond
+	restMost       = 100 * time.Millisecond
 	// transferShare is the part of the heap that long messages under way may hold.
 	transferShare = 0.25
 )
@@ -85,7 +87,8 @@
 	list      *discovery.Client
 	stats     *stats
 	listener  listener
-	door      *admin.Door // nil: none
+	acceptLog logging.Limit // of accepts that failed
+	door      *admin.Door   // nil: none
 	tasks     sync.WaitGroup
 
 	hands sync.Mutex // held while a ban is changed, in state and module
@@ -111,6 +114,8 @@
 		stats:   newStats(len(cfg.logic.Classes)),
 		limits:  cfg.Limits,
 		slack:   finishSlack,
+
+		acceptLog: logging.Limit{Every: acceptLogEvery},
 	}
 	p.sockets = newSockets(cfg.Limits.Sockets - p.doorSockets())
 	for i, c := range cfg.logic.Classes {
@@ -365,14 +370,8 @@
 // accept takes connections until the listener's deadline or its end.
 func (p *Proxy) accept() error {
 	for {
-		err := p.acceptOne()
-		switch {
-		case err == nil:
-		case timedOut(err):
+		if err := p.acceptOne(); p.acceptOver(err) {
 			return err
-		default:
-			log.Printf("event=accept_failed err=%q", err)
-			time.Sleep(acceptBackoff)
 		}
 	}
 }
@@ -413,20 +412,30 @@
 			each = restLeast
 		}
 		p.listener.SetDeadline(time.Now().Add(each))
-		switch err := p.acceptNow(); {
-		case timedOut(err):
+		if p.acceptOver(p.acceptNow()) {
 			return
-		case err != nil:
-			log.Printf("event=accept_failed err=%q", err)
-			time.Sleep(acceptBackoff)
 		}
 	}
 }
 
-// timedOut tells whether an error of accepting says that nobody is there. Others are
-// those of one connection, or of the moment.
-func timedOut(err error) bool {
-	return err != nil && (errors.Is(err, net.ErrClosed) || http1.TimedOut(err))
+// acceptOver tells whether an accept's error, if there is one, says that the listener is
+// closed or that nobody came in time. Others are those of one connection, or of the
+// moment: they are logged, and waited out where the next accept would meet them, too.
+func (p *Proxy) acceptOver(err error) bool {
+	meaning := neterror.Of(neterror.Accept, err)
+	switch meaning {
+	case neterror.None, neterror.Interrupted:
+		return false
+	case neterror.Deadline, neterror.Closed:
+		return true
+	}
+	if leftOut, ok := p.acceptLog.Allow(); ok {
+		log.Printf("event=accept_failed meaning=%s left_out=%d err=%q", meaning, leftOut, err)
+	}
+	if !meaning.Broken() {
+		time.Sleep(acceptBackoff)
+	}
+	return false
 }
 
 // serve takes one request after another from a client.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"oxbowloft/internal/http1"
+	"oxbowloft/internal/neterror"
 	"oxbowloft/internal/upstream"
 	"oxbowloft/logic"
 )
@@ -473,7 +474,7 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
-	case http1.TimedOut(err):
+	case neterror.IsDeadline(err):
 		return http.StatusRequestTimeout
 	}
 	return 0 // the client ended it inside the message
--- a/proxy/stats.go
+++ b/proxy/stats.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"oxbowloft/internal/logging"
 	"oxbowloft/logic"
 )
 
@@ -19,7 +20,7 @@
 	open atomic.Int64            // requests taken and not ended
 	ends [][endings]atomic.Int64 // of requests, by class
 
-	toldBad atomic.Int64 // when a bad request was last logged, in Unix nanoseconds
+	badLog logging.Limit // of bad requests
 
 	mu       sync.Mutex
 	latency  *hdrhistogram.Histogram // of answers, in microseconds
@@ -37,7 +38,12 @@
 
 func newStats(classes int) *stats {
 	const longest = int64(time.Minute / time.Microsecond)
-	return &stats{ends: make([][endings]atomic.Int64, classes), latency: hdrhistogram.New(1, longest, 2), lateness: hdrhistogram.New(1, longest, 2)}
+	return &stats{
+		ends:     make([][endings]atomic.Int64, classes),
+		badLog:   logging.Limit{Every: badEvery},
+		latency:  hdrhistogram.New(1, longest, 2),
+		lateness: hdrhistogram.New(1, longest, 2),
+	}
 }
 
 func (s *stats) served(d time.Duration) {
@@ -59,8 +65,7 @@
 // turnedAway counts a request that is answered with a 4xx, and logs it now and then.
 func (s *stats) turnedAway(code int, from net.Addr, err error) {
 	n := s.bad.Add(1)
-	now, last := time.Now().UnixNano(), s.toldBad.Load()
-	if now-last >= int64(badEvery) && s.toldBad.CompareAndSwap(last, now) {
+	if _, ok := s.badLog.Allow(); ok { // count says how many were left out
 		log.Printf("event=bad_request status=%d client=%s count=%d err=%q", code, from, n, err)
 	}
 }
