Tests: a failure of this machine says nothing of backends or discovery

On the text as found 20 of 20 dials that fail by EADDRNOTAVAIL, EMFILE and the like count against backends, one of two is avoided; the same failures at the call for the list put the time for which a backend that serves may be used on by 3 s for each 3 s, as if discovery were down.

--- a/internal/discovery/fresh_test.go
+++ b/internal/discovery/fresh_test.go
@@ -59,6 +59,7 @@
 type resettable struct {
 	net.Conn
 	reset atomic.Bool
+	lost  atomic.Int64 // an errno that its end is told as, once it is not 0
 }
 
 // Read implements net.Conn.
@@ -67,6 +68,9 @@
 	if err != nil && c.reset.Load() {
 		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
 	}
+	if errno := syscall.Errno(c.lost.Load()); err != nil && errno != 0 {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", errno)}
+	}
 	return n, err
 }
 
@@ -92,6 +96,14 @@
 	s.cut()
 }
 
+// loses ends it as the network does that gives a connection up.
+func (s *source) loses(errno syscall.Errno) {
+	s.mu.Lock()
+	s.near.lost.Store(int64(errno))
+	s.mu.Unlock()
+	s.cut()
+}
+
 const watched = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 func lists(rev int) func(net.Conn) {
--- /dev/null
+++ b/proxy/local_dial_test.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"oxbowloft/internal/standin"
+	"oxbowloft/logic"
+)
+
+// A connection that can't be opened for want of something on this machine says nothing of
+// the backend: it is not counted as a failure of it, nor is it ejected, and the request is
+// tried again.
+func TestLocalDialBlamesNobody(t *testing.T) {
+	for _, c := range []struct {
+		errno syscall.Errno
+		local bool
+	}{
+		{syscall.EADDRNOTAVAIL, true},
+		{syscall.EAGAIN, true},
+		{syscall.EMFILE, true},
+		{syscall.ENFILE, true},
+		{syscall.ENOBUFS, true},
+		{syscall.ENETUNREACH, true},
+		{syscall.ECONNREFUSED, false},
+		{syscall.EHOSTUNREACH, false},
+	} {
+		t.Run(c.errno.Error(), func(t *testing.T) {
+			first, second := standin.NewBackend(t, standin.Echo), standin.NewBackend(t, standin.Echo)
+			p := listening(t, standin.List(1, true, standin.Target("s-1", first.Addr()), standin.Target("s-2", second.Addr())),
+				"127.0.0.1:1")
+			p.cfg.Grace = 1 // so that the end takes no time
+			var failures atomic.Int64
+			failures.Store(20)
+			p.driver.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if failures.Add(-1) >= 0 {
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", c.errno)}
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			}
+			defer running(t, p)()
+			for failures.Load() > 0 {
+				ask(t, dial(t, p), "get", 2000)
+			}
+			p.stats.mu.Lock()
+			blamed := p.stats.results[logic.NoConnect]
+			p.stats.mu.Unlock()
+			if (blamed == 0) != c.local {
+				t.Errorf("%d attempts are counted against backends", blamed)
+			}
+			if _, avoided := p.driver.listed(); c.local && avoided > 0 {
+				t.Errorf("%d backends are avoided", avoided)
+			}
+			if code, body := ask(t, dial(t, p), "get", 2000); c.local && code != http.StatusOK {
+				t.Errorf("once connections can be opened again: %d %q", code, body)
+			}
+		})
+	}
+}
