--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -219,8 +219,8 @@
 	for {
 		c, err := b.connect(ctx, deadline)
 		switch {
-		case errors.Is(err, errNoSlot):
-			return nil, nil, &Answer{Stage: Unsent, Err: err}
+		case errors.Is(err, errNoSlot), neterror.Of(neterror.Dial, err) == neterror.Local:
+			return nil, nil, &Answer{Stage: Unsent, Err: err} // it says nothing of the backend
 		case err != nil:
 			return nil, nil, &Answer{Stage: Unopened, Err: err}
 		case req.Connected != nil && !req.Connected():
