--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -23,6 +23,9 @@
 	Rev     int64
 	All     bool
 	Targets []Target
+	// Before is when discovery last told, by a list or a sign of life, that the list before
+	// this one was whole; zero: it has told nothing yet.
+	Before time.Time
 }
 
 // Target is one entry of a list.
@@ -283,6 +286,7 @@
 		}
 	}
 	c.from.rev, c.behind = l.Rev, 0
+	l.Before = c.fresh.heard
 	return true, nil
 }
 
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -38,6 +38,7 @@
 	serving    time.Duration // what drains by now was in service so long ago
 
 	word  time.Time // last list or sign of life; at first the start
+	heard time.Time // the same; at first zero
 	until time.Time // by the last word of discovery
 	ended time.Time // bound by a watch that ended and may not have told all; zero: none
 	cut   time.Time // last time that discovery could not be reached; zero: never
@@ -87,7 +88,7 @@
 // told takes that a watch has told all that it had: a list that is in use, or a sign of
 // life behind it. A change made before counts as told TellWithin later at the earliest.
 func (f *freshness) told(now time.Time) {
-	f.word, f.ended, f.cut, f.deaf = now, time.Time{}, time.Time{}, false
+	f.word, f.heard, f.ended, f.cut, f.deaf = now, now, time.Time{}, time.Time{}, false
 	f.extend(now.Add(TellWithin))
 }
 
