Spans are of monotonic time: the end of a drain, and what a start's stamp can be

Cause: Proxy.end held the end of a drain as Unix time and left() read it back against the wall clock, so that a step back by an hour left the process in Finishing for an hour, a step forward ended all requests at once. boot_ms was judged against the wall clock of the process's start, whatever it said.

Change: the end keeps its monotonic reading. The wall clock is read once, in proxy/clock.go.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -36,6 +36,9 @@
 	keptBuf    = 16 << 10 // a larger buffer is dropped when its messages are done
 )
 
+// LongAgo is a deadline that is over, whatever the clock says: it ends a wait at once.
+var LongAgo = time.Unix(1, 0)
+
 // Errors of a message; what else a read returns is the connection's own error.
 var (
 	ErrMalformed    = errors.New("malformed message")
@@ -286,7 +289,7 @@
 // Resume. It may come from any goroutine.
 func (r *Rest) Interrupt() {
 	r.c.interrupted.Store(true)
-	r.c.SetReadDeadline(time.Unix(1, 0))
+	r.c.SetReadDeadline(LongAgo)
 }
 
 // Resume lets Read wait again.
@@ -543,7 +546,7 @@
 	if c.watch == nil {
 		return
 	}
-	c.SetReadDeadline(time.Unix(1, 0))
+	c.SetReadDeadline(LongAgo)
 	<-c.watch
 	c.watch = nil
 	c.SetReadDeadline(time.Time{})
--- a/internal/sourcecheck/wallclock_test.go
+++ b/internal/sourcecheck/wallclock_test.go
@@ -23,11 +23,12 @@
 
 // allowed are the places that may read the wall clock, with the reason.
 var allowed = map[string]string{
-	"proxy/clock.go: UnixNano":              "the stamps of starts that discovery gives are Unix time; read once, at the start",
-	"proxy/state.go: ModTime":               "compared for equality with itself alone, to see that a file is another",
-	"internal/http1/conn.go: Unix":          "a moment long past, for a deadline that is over whatever the clock says",
-	"fleet/agree/store_record.go: Unix":     "stored beside an entry of the log, as the library wants; nothing is decided by it",
-	"fleet/agree/store_record.go: UnixNano": "the same",
+	"proxy/clock.go: UnixNano":               "the stamps of starts that discovery gives are Unix time; read once, at the start",
+	"internal/scale/report/markdown.go: UTC": "the date of a run in its report",
+	"proxy/state.go: ModTime":                "compared for equality with itself alone, to see that a file is another",
+	"internal/http1/conn.go: Unix":           "a moment long past, for a deadline that is over whatever the clock says",
+	"fleet/agree/store_record.go: Unix":      "stored beside an entry of the log, as the library wants; nothing is decided by it",
+	"fleet/agree/store_record.go: UnixNano":  "the same",
 }
 
 // No decision, wait or deadline reads the wall clock, which may be stepped: spans are of
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -128,7 +128,7 @@
 		return *failed
 	}
 	c.SetDeadline(deadline)
-	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(http1.LongAgo) })
 	defer unwatch()
 	if _, err := c.Write(text); err != nil {
 		b.discard(c)
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -212,7 +212,7 @@
 	case !c.asked: // its first request is most likely on the way
 		c.conn.SetReadDeadline(c.since.Add(s.freshLeast))
 	default:
-		c.conn.SetReadDeadline(time.Unix(1, 0))
+		c.conn.SetReadDeadline(http1.LongAgo)
 	}
 }
 
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -12,17 +12,6 @@
 	"oxbowloft/logic"
 )
 
-// clock turns times into the module's. Its zero is Unix time's, so that times
-// of starts that discovery tells fit in; it runs by the monotonic clock and so
-// never goes back.
-type clock struct{ start time.Time }
-
-func (c clock) now() logic.Time { return c.at(time.Now()) }
-
-func (c clock) at(t time.Time) logic.Time {
-	return logic.Time(c.start.UnixNano()) + t.Sub(c.start)
-}
-
 // driver alone calls the module: one call at a time, each with the time at
 // which it is made. It does no I/O under its lock: what the module asks for is
 // handed to the request it is for, or kept until the lock is free.
@@ -44,7 +33,8 @@
 // place is where a backend is, since when.
 type place struct {
 	*upstream.Backend
-	boot int64
+	boot    int64      // the stamp of its start, as discovery gives it
+	started logic.Time // what that is taken for, from when it was first told
 }
 
 // call is one request in the module's hands.
@@ -85,7 +75,7 @@
 
 func newDriver(cfg *Config, opt *upstream.Options, st *stats) *driver {
 	d := &driver{
-		clock:    clock{time.Now()},
+		clock:    newClock(),
 		opt:      opt,
 		stats:    st,
 		calls:    map[string]*call{},
@@ -221,21 +211,17 @@
 	}
 	lines := make([]logic.Backend, 0, len(l.Targets))
 	named := map[string]bool{}
-	for _, t := range l.Targets {
-		line := logic.Backend{ID: t.UID, Zone: t.Zone, Cell: t.Cell, Size: t.Size, State: states[t.State]}
-		if t.Boot != 0 {
-			line.Started = logic.Time(t.Boot) * time.Millisecond
-		}
-		lines = append(lines, line)
-		named[t.UID] = true
-	}
 	d.do(func(now logic.Time) {
 		for _, t := range l.Targets {
 			if t.State == discovery.Terminated {
 				d.drop(t.UID)
 			} else {
-				d.place(t)
+				d.place(now, t, l.Before)
 			}
+			line := logic.Backend{ID: t.UID, Zone: t.Zone, Cell: t.Cell, Size: t.Size, State: states[t.State]}
+			line.Started = d.backends[t.UID].started
+			lines = append(lines, line)
+			named[t.UID] = true
 		}
 		for uid := range d.backends {
 			if l.All && !named[uid] {
@@ -249,13 +235,18 @@
 // place makes sure that a backend is reached where the list says. Connections
 // from before it moved or started again are of no use: guards against calls
 // broken on those that a machine left open when it vanished.
-func (d *driver) place(t discovery.Target) {
+func (d *driver) place(now logic.Time, t discovery.Target, before time.Time) {
 	b, ok := d.backends[t.UID]
-	if ok && b.Addr == t.Endpoint && b.boot == t.Boot {
+	same := ok && b.boot == t.Boot
+	if same && b.Addr == t.Endpoint {
 		return
 	}
+	started := b.started
+	if !same {
+		started = d.clock.booted(now, t.Boot, before)
+	}
 	d.drop(t.UID)
-	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot}
+	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot, started}
 }
 
 // drop lets go of a backend, if it is known, and of the connections to it.
--- a/proxy/linger.go
+++ b/proxy/linger.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"time"
+
+	"oxbowloft/internal/http1"
 )
 
 // Lingering close: a close over unread bytes resets the connection, and the reset takes
@@ -64,7 +66,7 @@
 	defer s.mu.Unlock()
 	s.cut = true
 	for e := s.lingering.Front(); e != nil; e = e.Next() {
-		e.Value.(*client).conn.SetReadDeadline(time.Unix(1, 0))
+		e.Value.(*client).conn.SetReadDeadline(http1.LongAgo)
 	}
 	return s.open - s.lingering.Len()
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -78,8 +78,8 @@
 	classes   map[string]int
 	longest   time.Duration // deadline
 	shortest  time.Duration
-	slack     time.Duration // finishSlack, but for tests
-	end       atomic.Int64  // of a drain, in Unix nanoseconds: no answer comes after it
+	slack     time.Duration             // finishSlack, but for tests
+	end       atomic.Pointer[time.Time] // of a drain; nil: none. No answer comes after it
 	sockets   *sockets
 	clients   *clients
 	transfers *http1.Transfers
@@ -270,7 +270,7 @@
 	var err error
 	select {
 	case err = <-accepted:
-		p.end.Store(time.Now().Add(p.longest).UnixNano())
+		p.endBy(time.Now().Add(p.longest))
 		err = fmt.Errorf("accept: %w", err)
 		p.listener.Close()
 	case <-ctx.Done():
@@ -316,10 +316,10 @@
 // requests that were taken with more time than there is, and are lost with the process.
 func (p *Proxy) drain(accepted <-chan error) {
 	end := time.Now().Add(p.cfg.Grace + min(p.longest, mostNotice))
-	p.end.Store(end.UnixNano())
+	p.endBy(end)
 	p.enter(Draining)
 	if p.cfg.ListenFD != 0 { // another process accepts, and what waits in the kernel is its
-		p.listener.SetDeadline(time.Unix(1, 0))
+		p.listener.SetDeadline(http1.LongAgo)
 		p.sockets.waitUntil(time.Now())
 		select {
 		case <-accepted:
@@ -348,12 +348,16 @@
 // left is the time until the end of a drain; where there is none, the longest
 // deadline.
 func (p *Proxy) left() time.Duration {
-	if end := p.end.Load(); end != 0 {
-		return max(0, time.Until(time.Unix(0, end)))
+	if end := p.end.Load(); end != nil {
+		return max(0, time.Until(*end))
 	}
 	return p.longest
 }
 
+// endBy sets the end of a drain. It is kept with its monotonic reading: the wall clock may
+// be stepped meanwhile.
+func (p *Proxy) endBy(end time.Time) { p.end.Store(&end) }
+
 // neverBlocks makes sure that an inherited listener does not block: the flag is shared
 // by all processes that hold the socket, and starting another one may clear it. An
 // accept that lost its connection to another process would then be caught in the
