Each request that ends without a plain answer is logged, with its cause and attempts

Need: why a request was refused could not be told from the log. The module names a typed cause with each refusal and failure; the proxy writes one line with id, class, cause, budget, time and each attempt's backend, outcome and time, 20 a second at most, with the count of those left out.

No decision changes: tests of logic and of the simulator's host pass.

--- a/fleet/model/member.go
+++ b/fleet/model/member.go
@@ -44,7 +44,7 @@
 	p.model.after(patience, &event{kind: timeout, member: p.number, call: q, try: try, result: logic.TimedOut, token: uint64(q.tries)})
 }
 
-func (p *member) Refuse(id string, comeBack time.Duration) {
+func (p *member) Refuse(id string, comeBack time.Duration, _ logic.Cause) {
 	q := p.calls[id]
 	q.final = true
 	p.drop(q)
@@ -54,7 +54,7 @@
 	p.refused(q, comeBack)
 }
 
-func (p *member) Fail(id string) {
+func (p *member) Fail(id string, _ logic.Cause) {
 	q := p.calls[id]
 	q.final = true
 	p.drop(q)
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -228,10 +228,10 @@
 }
 
 // The rest of logic.Actions.
-func (m *member) Refuse(string, time.Duration) {}
-func (m *member) Fail(string)                  {}
-func (m *member) Cancel(string, int)           {}
-func (m *member) CloseIdle(string)             {}
+func (m *member) Refuse(string, time.Duration, logic.Cause) {}
+func (m *member) Fail(string, logic.Cause)                  {}
+func (m *member) Cancel(string, int)                        {}
+func (m *member) CloseIdle(string)                          {}
 
 // knows is the newest revision that the member had by a time.
 func (m *member) knows(by time.Time) (rev int) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -189,12 +189,12 @@
 }
 
 // Refuse implements logic.Actions.
-func (in *instance) Refuse(request string, comeBack time.Duration) {
+func (in *instance) Refuse(request string, comeBack time.Duration, _ logic.Cause) {
 	in.act(wire.Action{Type: "reject", Txn: request, ComeBack: settings.Milliseconds(comeBack)})
 }
 
 // Fail implements logic.Actions.
-func (in *instance) Fail(request string) {
+func (in *instance) Fail(request string, _ logic.Cause) {
 	in.act(wire.Action{Type: "fail", Txn: request})
 }
 
--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -6,14 +6,16 @@
 	"time"
 )
 
-// Limit lets one line through in each span of Every, and counts the others: a flood of
-// events must not cost a line each. Its zero value is not usable without Every.
+// Limit lets lines through at one for each span of Every, and counts the others: a flood of
+// events must not cost a line each. Up to Burst lines that were not used earlier may come at
+// once; zero stands for one.
 type Limit struct {
 	Every time.Duration
+	Burst int
 
 	mu      sync.Mutex
-	last    time.Time // of the line let through last; zero: none
-	leftOut int64     // since then
+	last    time.Time // from when on lines have been earned; zero: no line yet
+	leftOut int64     // since the last line
 }
 
 // Allow tells whether a line may be written now, and how many were left out before it.
@@ -21,10 +23,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if !l.last.IsZero() && now.Sub(l.last) < l.Every {
+	saved := time.Duration(max(1, l.Burst)) * l.Every
+	if oldest := now.Add(-saved); l.last.Before(oldest) {
+		l.last = oldest
+	}
+	if now.Sub(l.last) < l.Every {
 		l.leftOut++
 		return 0, false
 	}
-	leftOut, l.last, l.leftOut = l.leftOut, now, 0
+	leftOut, l.leftOut = l.leftOut, 0
+	l.last = l.last.Add(l.Every)
 	return leftOut, true
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -123,14 +123,44 @@
 	Spent   bool          // it can't be sent again: a part of it has passed through
 }
 
+// Cause is why a request was given up.
+type Cause int
+
+// The causes. Those from Drained on say what kept the request from the backend that was
+// nearest to being used.
+const (
+	OverLimit    Cause = iota // the concurrency limit
+	NoTime                    // the time left does not hold another attempt
+	NoAttempts                // as many attempts as may be made have been
+	RetryBudget               // too many repeats of what may have run, of all requests
+	MayHaveRun                // an attempt may have run, and must not be repeated, or not there
+	BalancerEnds              // the balancer is about to end
+	NoBackend                 // none is listed
+	Drained                   // draining, gone, or out by hand
+	ListStale                 // the list may lack what counts as told
+	SlowStart                 // cold, and has had its part
+	Avoided                   // ejected, or full a moment ago
+)
+
+var causes = [...]string{"over_limit", "no_time", "no_attempts", "retry_budget", "may_have_run", "balancer_ends",
+	"no_backend", "drained", "list_stale", "slow_start", "avoided"}
+
+// String is the cause's word in the log.
+func (c Cause) String() string { return causes[c] }
+
+var results = [...]string{"ok", "error", "full", "timed_out", "no_connect", "broken", "cancelled", "never_sent"}
+
+// String is the result's word in the log.
+func (r Result) String() string { return results[r] }
+
 // Actions carries out what the module decides, in the order of the calls.
 type Actions interface {
 	// Send starts an attempt that times out after timeout.
 	Send(request, backend string, timeout time.Duration)
 	// Refuse answers that the request had no effect and another try is harmless.
-	Refuse(request string, comeBack time.Duration)
+	Refuse(request string, comeBack time.Duration, why Cause)
 	// Fail answers that the request failed, promising nothing of its effect.
-	Fail(request string)
+	Fail(request string, why Cause)
 	// Cancel gives up one attempt that is out; its outcome follows.
 	Cancel(request string, attempt int)
 	// Wake asks for a Wake event with token after the given time.
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -220,18 +220,18 @@
 // End gives up a request because this balancer ends.
 func (b *Balancer) End(id string) {
 	if q := b.requests[id]; q != nil && !q.ended {
-		b.giveUp(q)
+		b.giveUp(q, BalancerEnds)
 	}
 }
 
 // giveUp is the only place that answers a request: at once, once, and as refused where that is harmless.
-func (b *Balancer) giveUp(q *request) {
+func (b *Balancer) giveUp(q *request, why Cause) {
 	c := &b.classes[q.Class]
 	q.ended = true
 	if c.Repeat == Safe || q.mayHaveRun() == nil || c.Repeat == Keyed && c.Scope == ScopeAll {
-		b.act.Refuse(q.ID, min(b.set.MaxComeBack, c.Aim/comeBackPart))
+		b.act.Refuse(q.ID, min(b.set.MaxComeBack, c.Aim/comeBackPart), why)
 	} else {
-		b.act.Fail(q.ID)
+		b.act.Fail(q.ID, why)
 	}
 	b.forget(q)
 }
--- a/logic/harness_test.go
+++ b/logic/harness_test.go
@@ -38,11 +38,11 @@
 	f.sends = append(f.sends, sent{request, backend, timeout})
 }
 
-func (f *fake) Refuse(request string, comeBack time.Duration) {
+func (f *fake) Refuse(request string, comeBack time.Duration, _ Cause) {
 	f.answers[request] = append(f.answers[request], answer{true, comeBack})
 }
 
-func (f *fake) Fail(request string) {
+func (f *fake) Fail(request string, _ Cause) {
 	f.answers[request] = append(f.answers[request], answer{})
 }
 
--- a/logic/ramp_test.go
+++ b/logic/ramp_test.go
@@ -307,10 +307,10 @@
 	})
 }
 
-func (i *instance) Refuse(string, time.Duration) {}
-func (i *instance) Fail(string)                  {}
-func (i *instance) Cancel(string, int)           {}
-func (i *instance) CloseIdle(string)             {}
+func (i *instance) Refuse(string, time.Duration, Cause) {}
+func (i *instance) Fail(string, Cause)                  {}
+func (i *instance) Cancel(string, int)                  {}
+func (i *instance) CloseIdle(string)                    {}
 func (i *instance) Wake(token uint64, after time.Duration) {
 	w := i.w
 	w.at(w.now+after, func() {
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -173,10 +173,10 @@
 }
 
 // Refuse implements logic.Actions.
-func (p *play) Refuse(string, time.Duration) {}
+func (p *play) Refuse(string, time.Duration, logic.Cause) {}
 
 // Fail implements logic.Actions.
-func (p *play) Fail(string) {}
+func (p *play) Fail(string, logic.Cause) {}
 
 // Cancel implements logic.Actions. No client leaves here.
 func (p *play) Cancel(string, int) {}
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -47,18 +47,24 @@
 	if len(q.attempts) == 0 && !b.set.Uneven && (b.set.Tier > 0 || c.Repeat == Safe) {
 		need = max(1, min(need, c.cost)) // guards against clients of little patience that get nothing
 	}
-	var to *backend
-	open := len(q.attempts) > 0 || b.admit(now, q)
-	if open && len(q.attempts) < b.set.MaxAttempts && need <= float64(q.available(now)) {
-		if len(q.attempts) == 0 { // repeats come on top
-			b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
-		}
-		to = b.pick(now, q)
+	switch open := len(q.attempts) > 0 || b.admit(now, q); {
+	case !open:
+		b.giveUp(q, OverLimit)
+		return
+	case len(q.attempts) >= b.set.MaxAttempts:
+		b.giveUp(q, NoAttempts)
+		return
+	case need > float64(q.available(now)):
+		b.giveUp(q, NoTime)
+		return
 	}
-	if to == nil {
-		b.giveUp(q)
-	} else {
+	if len(q.attempts) == 0 { // repeats come on top
+		b.gap, b.lastCall = b.gap+meanWeight*(float64(now-b.lastCall)-b.gap), now
+	}
+	if to := b.pick(now, q); to != nil {
 		b.send(now, q, to)
+	} else {
+		b.giveUp(q, b.obstacle(now, q))
 	}
 }
 
@@ -92,11 +98,20 @@
 	allowance := b.classes[q.Class].allowance
 	wait := allowance * backoffShare * math.Pow(backoffGrowth, float64(len(q.attempts)-1))
 	wait = float64(b.jitter(time.Duration(wait)))
-	fits := wait+allowance <= float64(q.available(now)) && len(q.attempts) < b.set.MaxAttempts
 	// The retry budget, a departure: when all slow together, repeats of what may have run burn what is left.
 	price := one(!last.notRun)
-	if !fits || !b.repeatable(now, q) || b.retryTokens < price {
-		b.giveUp(q)
+	switch {
+	case len(q.attempts) >= b.set.MaxAttempts:
+		b.giveUp(q, NoAttempts)
+		return
+	case !b.repeatable(now, q):
+		b.giveUp(q, MayHaveRun)
+		return
+	case wait+allowance > float64(q.available(now)):
+		b.giveUp(q, NoTime)
+		return
+	case b.retryTokens < price:
+		b.giveUp(q, RetryBudget)
 		return
 	}
 	b.retryTokens -= price
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -88,7 +88,7 @@
 	q.tries = append(q.tries, &try{to: to, sent: w.now, timeout: timeout, mayRun: true})
 }
 
-func (w *world) Refuse(request string, comeBack time.Duration) {
+func (w *world) Refuse(request string, comeBack time.Duration, _ Cause) {
 	q := w.answer(request)
 	if q == nil {
 		return
@@ -104,7 +104,7 @@
 	}
 }
 
-func (w *world) Fail(request string) { w.answer(request) }
+func (w *world) Fail(request string, _ Cause) { w.answer(request) }
 
 func (w *world) answer(request string) *openRequest {
 	q := w.open[request]
--- a/logic/selection.go
+++ b/logic/selection.go
@@ -55,6 +55,26 @@
 	return b.rotate(now, q, least)
 }
 
+// obstacle is why no backend could be picked for q: of the one that passed most of the checks.
+func (b *Balancer) obstacle(now Time, q *request) Cause {
+	why := NoBackend
+	for _, m := range b.listed {
+		switch {
+		case !b.serving(m):
+			why = max(why, Drained)
+		case !b.sure(now, m):
+			why = max(why, ListStale)
+		case !b.mayRepeat(now, q, m):
+			return MayHaveRun
+		case b.tooSoon(now, m):
+			why = max(why, SlowStart)
+		default:
+			why = Avoided
+		}
+	}
+	return why
+}
+
 // usable tells whether the rules and the backend's state let q go to m now.
 func (b *Balancer) usable(now Time, q *request, m *backend) bool {
 	return m.ejected == 0 && now >= m.paused && b.allowed(now, q, m)
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -71,6 +71,7 @@
 	ctx      context.Context // over once the attempt is given up
 	cancel   func()
 	comeBack time.Duration
+	why      logic.Cause // of a refusal or failure
 }
 
 func newDriver(cfg *Config, opt *upstream.Options, st *stats) *driver {
@@ -319,13 +320,13 @@
 }
 
 // Refuse implements logic.Actions.
-func (d *driver) Refuse(request string, comeBack time.Duration) {
-	d.calls[request].steps <- step{kind: stepRefuse, comeBack: comeBack}
+func (d *driver) Refuse(request string, comeBack time.Duration, why logic.Cause) {
+	d.calls[request].steps <- step{kind: stepRefuse, comeBack: comeBack, why: why}
 }
 
 // Fail implements logic.Actions.
-func (d *driver) Fail(request string) {
-	d.calls[request].steps <- step{kind: stepFail}
+func (d *driver) Fail(request string, why logic.Cause) {
+	d.calls[request].steps <- step{kind: stepFail, why: why}
 }
 
 // Cancel implements logic.Actions.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -88,7 +88,8 @@
 	stats     *stats
 	listener  listener
 	acceptLog logging.Limit // of accepts that failed
-	door      *admin.Door   // nil: none
+	endLog    *endLog
+	door      *admin.Door // nil: none
 	tasks     sync.WaitGroup
 
 	hands sync.Mutex // held while a ban is changed, in state and module
@@ -116,6 +117,7 @@
 		slack:   finishSlack,
 
 		acceptLog: logging.Limit{Every: acceptLogEvery},
+		endLog:    newEndLog(),
 	}
 	p.sockets = newSockets(cfg.Limits.Sockets - p.doorSockets())
 	for i, c := range cfg.logic.Classes {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -73,6 +73,8 @@
 	watch := func() {
 		c.conn.Watch(func() { p.driver.gone(call) }, func() { p.driver.ahead(call) })
 	}
+	var attempts []attemptTrace
+	ended := func(end requestEnd, cause string) { p.endLog.write(&in, end, cause, start, attempts) }
 	stays := func(open bool) bool { // what still comes of a request that has its answer is read
 		return open && (rest == nil || rest.Discard(p.transfers) == nil)
 	}
@@ -111,40 +113,55 @@
 			step.cancel()
 			p.driver.done(call, step, result, final, rest != nil && rest.Begun())
 			p.stats.attempt(result)
+			attempts = append(attempts, attemptTrace{step.uid, result, time.Since(step.sent)})
 			if final {
 				p.driver.forget(call)
 			}
 			switch {
 			case errors.Is(got.Source, http1.ErrBusy):
 				ends[throttled].Add(1)
+				ended(endBusy, "")
 				req.Close = true // most of it has not been read
 				p.answer(c, req, http.StatusServiceUnavailable, comeBack(p.cfg.logic.MaxComeBack), "busy")
 				return false
 			case got.Source != nil:
+				ended(endUnreadable, "")
 				p.turnAway(c, unreadable(got.Source), got.Source)
 				return false
 			case call.ahead.Load():
 				got.Release(false)
 			case result == logic.OK:
 				p.stats.served(time.Since(start))
-				return stays(p.pass(c, req, &got, ends))
+				open := p.pass(c, req, &got, ends)
+				switch {
+				case c.reset:
+					ended(endCutShort, "")
+				case time.Since(start) > in.budget:
+					ended(endLate, "")
+				}
+				return stays(open)
 			case final:
 				got.Release(false)
+				ended(endRejected, strconv.Itoa(got.Status))
 				ends[faulted].Add(1)
 				return stays(p.answer(c, req, got.Status, nil, "rejected"))
 			default:
 				got.Release(false)
 			}
 		case stepRefuse:
+			ended(endRefused, step.why.String())
 			ends[throttled].Add(1)
 			return stays(p.answer(c, req, http.StatusServiceUnavailable, comeBack(step.comeBack), "refused"))
 		case stepFail:
+			ended(endFailed, step.why.String())
 			ends[faulted].Add(1)
 			return stays(p.answer(c, req, http.StatusBadGateway, nil, "failed"))
 		case stepAhead:
+			ended(endAhead, "")
 			p.turnAway(c, http.StatusBadRequest, errAhead)
 			return false
 		case stepGone:
+			ended(endClientGone, "")
 			return p.clientGone(c, req)
 		}
 	}
@@ -160,10 +177,11 @@
 
 // incoming is what the module needs to know of a request.
 type incoming struct {
-	id     string
-	class  int
-	budget time.Duration
-	retry  bool
+	id        string
+	class     int
+	className string
+	budget    time.Duration
+	retry     bool
 }
 
 // errOpen is a request with the id of one that has no answer yet: a backend could
@@ -218,7 +236,7 @@
 			return in, code, fmt.Errorf("bad %s %.40q", headerRetry, mark)
 		}
 	}
-	in.class = class
+	in.class, in.className = class, req.Header.Get(headerClass)
 	in.budget = time.Duration(ms) * time.Millisecond
 	if p.longest > 0 { // nobody has more patience, nor has a proxy that is about to end
 		in.budget = min(in.budget, max(time.Millisecond, p.left()))
