--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"oxbowloft/internal/faults"
 	"oxbowloft/internal/http1"
 )
 
@@ -87,7 +88,11 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	conn, err := dial(ctx, "tcp", b.Addr)
+	err := faults.Fail("dial")
+	var conn net.Conn
+	if err == nil {
+		conn, err = dial(ctx, "tcp", b.Addr)
+	}
 	if err != nil {
 		b.opt.Slots.Give()
 	} else {
--- a/logic/api.go
+++ b/logic/api.go
@@ -143,13 +143,17 @@
 	Avoided                   // ejected, or full a moment ago
 )
 
-var causes = [...]string{"over_limit", "no_time", "no_attempts", "retry_budget", "may_have_run", "balancer_ends",
-	"no_backend", "drained", "list_stale", "slow_start", "avoided"}
+var causes = [...]string{
+	"over_limit", "no_time", "no_attempts", "retry_budget", "may_have_run", "balancer_ends",
+	"no_backend", "drained", "list_stale", "slow_start", "avoided",
+}
 
 // String is the cause's word in the log.
 func (c Cause) String() string { return causes[c] }
 
-var results = [...]string{"ok", "error", "full", "timed_out", "no_connect", "broken", "cancelled", "never_sent", "late"}
+var results = [...]string{
+	"ok", "error", "full", "timed_out", "no_connect", "broken", "cancelled", "never_sent", "late",
+}
 
 // String is the result's word in the log.
 func (r Result) String() string { return results[r] }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -17,6 +17,7 @@
 
 	"oxbowloft/internal/admin"
 	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/faults"
 	"oxbowloft/internal/http1"
 	"oxbowloft/internal/logging"
 	"oxbowloft/internal/neterror"
@@ -392,7 +393,11 @@
 // acceptNow takes one connection, for which there is a descriptor.
 func (p *Proxy) acceptNow() error {
 	p.neverBlocks()
-	nc, err := p.listener.Accept()
+	var nc net.Conn
+	err := faults.Fail("accept")
+	if err == nil {
+		nc, err = p.listener.Accept()
+	}
 	if err != nil {
 		p.sockets.leave()
 		return err
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"oxbowloft/internal/faults"
 )
 
 // state is what a process shares with the one that replaces it, in a directory of
@@ -226,7 +228,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = f.Write(text)
+	if err = faults.Fail("write"); err == nil {
+		_, err = f.Write(text)
+	}
 	if err == nil {
 		s.seen, err = f.Stat()
 	}
