Soak: real processes under overlapping troubles, judged from outside

A command for maintainers over internal/soak: a seed draws troubles of proxies, discovery, backends and clients that overlap two or three at a time; books kept by clients, backends and discovery are judged by nine rules.

--- /dev/null
+++ b/cmd/oxbowsoak/main.go
@@ -0,0 +1,111 @@
+// Command oxbowsoak is for maintainers: it plays seeds of a soak test over real processes of
+// a built proxy on loopback, and says which promise was broken and how. docs/soak.md is its
+// page.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"oxbowloft/internal/soak"
+)
+
+func main() {
+	// What a run has started is ended by it, also when it is interrupted.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "oxbowsoak:", err)
+		os.Exit(1)
+	}
+}
+
+// command returns the one command.
+func command() *cobra.Command {
+	plan := &soak.Plan{}
+	var first uint64
+	var seeds, shrink int
+	cmd := &cobra.Command{
+		Use:           "oxbowsoak PROGRAM",
+		Short:         "Play seeds of overlapping troubles over real proxies, and judge them from outside",
+		Args:          cobra.ExactArgs(1),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			plan.Program = args[0]
+			return play(cmd.Context(), plan, first, seeds, shrink)
+		},
+	}
+	flags := cmd.Flags()
+	flags.Uint64Var(&first, "seed", 1, "the first seed")
+	flags.IntVar(&seeds, "seeds", 1, "how many seeds, one after the other")
+	flags.IntVar(&shrink, "shrink", 0, "how many runs to look for a shorter schedule in, after a violation")
+	flags.IntVar(&plan.Proxies, "proxies", 24, "processes of the proxy")
+	flags.IntVar(&plan.Backends, "backends", 8, "stand-in backends at the start")
+	flags.IntVar(&plan.Clients, "clients", 2, "clients for each proxy")
+	flags.DurationVar(&plan.Length, "length", 10*time.Second, "of the traffic of one seed")
+	flags.BoolVar(&plan.Faults, "faults", false, "make system calls fail and step clocks: PROGRAM is built with -tags faults")
+	flags.BoolVar(&plan.Pushed, "pushed", false, "lists are pushed")
+	flags.StringVar(&plan.Dir, "dir", "", "where configurations and logs go (a temporary directory)")
+	return cmd
+}
+
+// play plays the seeds, prints a line for each, and fails where one did.
+func play(ctx context.Context, plan *soak.Plan, first uint64, seeds, shrink int) error {
+	failed, void := 0, 0
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		report, err := soak.Run(ctx, plan, seed, soak.Schedule(seed, plan))
+		if err != nil {
+			return err
+		}
+		switch {
+		case report.Void != "":
+			void++
+			fmt.Printf("seed %d void: %s; %s\n", seed, report.Void, report.Summary)
+		case report.Passed():
+			fmt.Printf("seed %d passed: %s\n", seed, report.Summary)
+		default:
+			failed++
+			fmt.Printf("seed %d FAILED: %s\n", seed, report.Summary)
+			explain(ctx, plan, report, shrink)
+		}
+	}
+	fmt.Printf("%d seeds: %d passed, %d failed, %d void\n", seeds, seeds-failed-void, failed, void)
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds failed", failed, seeds)
+	}
+	return nil
+}
+
+// mostShown is how many violations of a run are printed.
+const mostShown = 5
+
+// explain prints what was broken, the schedule, and how to play it again.
+func explain(ctx context.Context, plan *soak.Plan, report *soak.Report, shrink int) {
+	for i, v := range report.Violations {
+		if i == mostShown {
+			fmt.Printf("  and %d more\n", len(report.Violations)-mostShown)
+			break
+		}
+		fmt.Printf("  %.3fs %s: %s\n", v.At.Seconds(), v.Rule, v.Detail)
+		for _, line := range v.Trace {
+			fmt.Println("    ", line)
+		}
+	}
+	events := report.Events
+	if shrink > 0 {
+		events = soak.Shrink(ctx, plan, report.Seed, events, report.Violations[0].Rule, shrink)
+	}
+	fmt.Printf("  schedule (%d of %d events):\n", len(events), len(report.Events))
+	for _, e := range events {
+		fmt.Println("    ", e)
+	}
+	fmt.Printf("  again: oxbowsoak %s --seed %d --proxies %d --backends %d --clients %d --length %v --faults=%t --pushed=%t\n",
+		plan.Program, report.Seed, plan.Proxies, plan.Backends, plan.Clients, plan.Length, plan.Faults, plan.Pushed)
+}
--- /dev/null
+++ b/internal/soak/backend.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// backend is a stand-in backend. It listens once for each proxy, which tells them apart.
+type backend struct {
+	book *Book
+	name string
+
+	listeners []net.Listener // by proxy
+	tasks     sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	conns    map[net.Conn]bool
+	behaving map[Trouble]time.Time // until when it does so
+	rng      *rand.Rand
+	active   int
+}
+
+// mostActive is how many calls a backend works on at a time; more are turned away.
+const mostActive = 30
+
+func newBackend(book *Book, name string, proxies int, seed uint64) (*backend, error) {
+	b := &backend{
+		book: book, name: name, conns: map[net.Conn]bool{}, behaving: map[Trouble]time.Time{},
+		rng: rand.New(rand.NewPCG(seed, 2)),
+	}
+	for proxy := range proxies {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.close()
+			return nil, err
+		}
+		b.listeners = append(b.listeners, ln)
+		b.tasks.Go(func() { b.accept(ln, proxy) })
+	}
+	return b, nil
+}
+
+// endpoint is where a proxy reaches the backend.
+func (b *backend) endpoint(proxy int) string { return b.listeners[proxy].Addr().String() }
+
+// behave makes the backend do as a trouble says for a time.
+func (b *backend) behave(kind Trouble, span time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behaving[kind] = time.Now().Add(span)
+}
+
+func (b *backend) does(kind Trouble) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.behaving[kind])
+}
+
+func (b *backend) accept(ln net.Listener, proxy int) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		if b.closed {
+			b.mu.Unlock()
+			c.Close()
+			return
+		}
+		b.conns[c] = true
+		b.mu.Unlock()
+		b.tasks.Go(func() {
+			b.serve(c, proxy)
+			c.Close()
+			b.mu.Lock()
+			delete(b.conns, c)
+			b.mu.Unlock()
+		})
+	}
+}
+
+// serve answers one call after another.
+func (b *backend) serve(c net.Conn, proxy int) {
+	in := bufio.NewReader(c)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		began := time.Now()
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if !b.answer(c, req, proxy, began) {
+			return
+		}
+	}
+}
+
+// answer answers one call, and tells whether the connection stays.
+func (b *backend) answer(c net.Conn, req *http.Request, proxy int, began time.Time) bool {
+	id := req.Header.Get("X-Request-ID")
+	told, _ := strconv.Atoi(req.Header.Get("X-Timeout-Ms"))
+	b.mu.Lock()
+	full := b.active >= mostActive || time.Now().Before(b.behaving[Full])
+	service := 3*time.Millisecond + time.Duration(b.rng.ExpFloat64()*float64(8*time.Millisecond))
+	b.active++
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.active--
+		b.mu.Unlock()
+	}()
+	b.book.Attempt(id, b.name, proxy, began, time.Duration(told)*time.Millisecond, !full)
+	if full {
+		return reply(c, http.StatusServiceUnavailable, "X-Not-Processed: 1\r\n", "full\n")
+	}
+	for b.does(Hang) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(service)
+	body := bodyFor(id, b.name)
+	switch {
+	case b.does(Errors):
+		return reply(c, http.StatusInternalServerError, "", "error\n")
+	case b.does(HalfAnswers):
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
+		resetConn(c)
+		return false
+	case b.does(IdleCloses):
+		reply(c, http.StatusOK, "", body)
+		return false
+	}
+	return reply(c, http.StatusOK, "", body)
+}
+
+func reply(c net.Conn, status int, header, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n%s", status, http.StatusText(status), len(body),
+		header, body)
+	return err == nil
+}
+
+func resetConn(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// reset resets all connections.
+func (b *backend) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		resetConn(c)
+	}
+}
+
+// close ends the backend: its connections are reset, and new ones refused.
+func (b *backend) close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	for _, ln := range b.listeners {
+		ln.Close()
+	}
+	b.reset()
+	b.behave(Hang, 0)
+	b.tasks.Wait()
+}
--- /dev/null
+++ b/internal/soak/book.go
@@ -0,0 +1,338 @@
+// Package soak runs a few dozen real processes of a built proxy on loopback, with discovery,
+// backends and clients of its own, makes trouble that overlaps as a seed says, and judges
+// from outside what the protocol promises. docs/soak.md is its page.
+package soak
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Rule is one promise that is judged.
+type Rule string
+
+// The rules. Their words are those of the protocol's page.
+const (
+	RuleLost      Rule = "lost"      // a request that was taken got no whole answer in time
+	RuleForeign   Rule = "foreign"   // an answer was served that no backend made for the request
+	RuleDuplicate Rule = "duplicate" // what must not run twice did
+	RuleRefused   Rule = "refused"   // a refusal promised no effect, and a backend had run the request
+	RuleDrain     Rule = "drain"     // a send to what had been told to be draining or gone
+	RuleDeadline  Rule = "deadline"  // a backend was told of more time than the client had left
+	RuleGone      Rule = "gone"      // an attempt began after its client had left
+	RuleCrash     Rule = "crash"     // a process ended by itself, panicked, hung or did not start
+	RuleBadClient Rule = "badclient" // a client that sent nonsense was neither answered nor closed
+)
+
+// Slacks of the rules.
+const (
+	answerSlack   = 550 * time.Millisecond // after a client's time, until a request counts as lost
+	drainSlack    = 50 * time.Millisecond  // beside the grace of the settings
+	deadlineSlack = 150 * time.Millisecond
+	goneSlack     = 150 * time.Millisecond // 0.1 s, and what the network takes
+)
+
+// Violation is one breach of a rule.
+type Violation struct {
+	Rule   Rule
+	At     time.Duration // since the run's start
+	Detail string
+	Trace  []string // what happened to the request
+}
+
+// attempt is one request that a backend has read whole.
+type attempt struct {
+	backend string
+	at      time.Time
+	ran     bool // it was not turned away
+}
+
+// request is what the books have of one request id.
+type request struct {
+	id       string
+	class    Class
+	proxy    int
+	sent     time.Time
+	budget   time.Duration
+	left     time.Time // its client closed; zero: it stayed
+	attempts []attempt
+	trace    []string
+}
+
+// Book is what happened, as clients, backends and discovery saw it, and the judgement. It
+// is safe for concurrent use.
+type Book struct {
+	start time.Time
+	grace time.Duration // in which a told drain may still get sends
+
+	mu         sync.Mutex
+	requests   map[string]*request
+	gone       map[string]map[int]time.Time // by backend and proxy: told to be draining or gone
+	paused     map[int][]span               // by proxy: times in which it was held up
+	violations []Violation
+	outcomes   map[string]int
+	ended      bool
+	voided     string
+}
+
+type span struct{ from, to time.Time }
+
+// NewBook returns empty books that begin now.
+func NewBook(grace time.Duration) *Book {
+	return &Book{
+		start:    time.Now(),
+		grace:    grace,
+		requests: map[string]*request{},
+		gone:     map[string]map[int]time.Time{},
+		paused:   map[int][]span{},
+		outcomes: map[string]int{},
+	}
+}
+
+// Void notes why the run says nothing.
+func (b *Book) Void(why string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.voided == "" && !b.ended {
+		b.voided = why
+	}
+}
+
+func (b *Book) void() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.voided
+}
+
+// end notes that the run is over.
+func (b *Book) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+}
+
+func (b *Book) over() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+// Violations are the breaches so far, oldest first.
+func (b *Book) Violations() []Violation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Violation(nil), b.violations...)
+}
+
+// Outcomes counts how requests ended.
+func (b *Book) Outcomes() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range b.outcomes {
+		out[k] = v
+	}
+	return out
+}
+
+// Breach notes a violation that concerns no single request.
+func (b *Book) Breach(rule Rule, detail string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breach(rule, nil, detail)
+}
+
+func (b *Book) breach(rule Rule, r *request, detail string) {
+	v := Violation{Rule: rule, At: time.Since(b.start), Detail: detail}
+	if r != nil {
+		v.Detail = fmt.Sprintf("request %s of class %s at proxy %d: %s", r.id, r.class.Name, r.proxy, detail)
+		v.Trace = append([]string(nil), r.trace...)
+	}
+	b.violations = append(b.violations, v)
+}
+
+func (b *Book) note(r *request, format string, args ...any) {
+	r.trace = append(r.trace, fmt.Sprintf("%8.3fs ", time.Since(b.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// Sent notes that a client is about to write a request to a proxy.
+func (b *Book) Sent(id string, class Class, proxy int, budget time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	if r == nil {
+		r = &request{id: id, class: class, sent: time.Now(), budget: budget}
+		b.requests[id] = r
+	}
+	r.proxy = proxy
+	b.note(r, "client sends to proxy %d, %d ms", proxy, budget.Milliseconds())
+}
+
+// Left notes that a request's client has closed its connection.
+func (b *Book) Left(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.requests[id]; r != nil {
+		r.left = time.Now()
+		b.note(r, "client leaves")
+		b.outcomes["left"]++
+	}
+}
+
+// Seen tells whether a backend has read a request.
+func (b *Book) Seen(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	return r != nil && len(r.attempts) > 0
+}
+
+// Attempt notes that a backend has read a request whole from a proxy, of which the first
+// byte came at began; ran tells whether it was worked on.
+func (b *Book) Attempt(id, backend string, proxy int, began time.Time, told time.Duration, ran bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	if r == nil {
+		b.breach(RuleForeign, nil, fmt.Sprintf("backend %s got a request %q that no client sent", backend, id))
+		return
+	}
+	now := time.Now()
+	b.note(r, "backend %s reads it from proxy %d, told %d ms, ran %t", backend, proxy, told.Milliseconds(), ran)
+	held := b.heldUp(proxy, began)
+	if at, ok := b.gone[backend][proxy]; ok && began.Sub(at) > b.grace+drainSlack && !held {
+		b.breach(RuleDrain, r, fmt.Sprintf("sent to %s %v after it was told to be leaving", backend, began.Sub(at)))
+	}
+	if left := r.sent.Add(r.budget).Sub(began); told > left+deadlineSlack && !held {
+		b.breach(RuleDeadline, r, fmt.Sprintf("backend was told %v, the client had %v left", told, left))
+	}
+	if !r.left.IsZero() && began.Sub(r.left) > goneSlack && !held {
+		b.breach(RuleGone, r, fmt.Sprintf("an attempt began %v after the client left", began.Sub(r.left)))
+	}
+	r.attempts = append(r.attempts, attempt{backend, now, ran})
+	if runs := r.runs(); ran && runs > 1 && !r.class.Safe {
+		b.breach(RuleDuplicate, r, fmt.Sprintf("run %d times", runs))
+	}
+}
+
+func (r *request) runs() (n int) {
+	for _, a := range r.attempts {
+		if a.ran {
+			n++
+		}
+	}
+	return n
+}
+
+// Answered notes a whole answer, and judges it.
+func (b *Book) Answered(id string, status int, body string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	late := time.Since(r.sent) - r.budget
+	b.note(r, "client reads %d %.40q", status, body)
+	switch {
+	case status == 200:
+		b.outcomes["served"]++
+		if !r.made(body) {
+			b.breach(RuleForeign, r, fmt.Sprintf("served %q, which no backend made for it", body))
+		}
+	case status == 429 || status == 503:
+		b.outcomes["refused"]++
+		if runs := r.runs(); runs > 0 && !r.class.Safe {
+			b.breach(RuleRefused, r, fmt.Sprintf("refused with %d, and run %d times", status, runs))
+		}
+	default:
+		b.outcomes["failed"]++
+	}
+	if late > answerSlack && !b.heldUp(r.proxy, r.sent) {
+		b.breach(RuleLost, r, fmt.Sprintf("answered %v after its time", late))
+	}
+}
+
+// made tells whether one of the request's backends made a body for it.
+func (r *request) made(body string) bool {
+	for _, a := range r.attempts {
+		if a.ran && body == bodyFor(r.id, a.backend) {
+			return true
+		}
+	}
+	return false
+}
+
+// bodyFor is what a backend answers to a request.
+func bodyFor(id, backend string) string { return "answer to " + id + " by " + backend + "\n" }
+
+// Lost notes a request that will get no whole answer. excused is why that is no breach, or
+// empty.
+func (b *Book) Lost(id, how, excused string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	b.note(r, "lost: %s (excused: %q)", how, excused)
+	if excused != "" {
+		b.outcomes["excused"]++
+		return
+	}
+	b.breach(RuleLost, r, how)
+}
+
+// Told notes that a proxy has been told that a backend is leaving, or serves again.
+func (b *Book) Told(backend string, proxy int, leaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !leaving {
+		delete(b.gone[backend], proxy)
+		return
+	}
+	if b.gone[backend] == nil {
+		b.gone[backend] = map[int]time.Time{}
+	}
+	if _, ok := b.gone[backend][proxy]; !ok {
+		b.gone[backend][proxy] = time.Now()
+	}
+}
+
+// Held notes that a proxy was held up for longer than the protocol allows for: what it did
+// around that time is not judged by time.
+func (b *Book) Held(proxy int, from, to time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.paused[proxy] = append(b.paused[proxy], span{from, to})
+}
+
+// heldUp tells whether a proxy was held up at a time or within the two seconds behind it.
+func (b *Book) heldUp(proxy int, at time.Time) bool {
+	for _, s := range b.paused[proxy] {
+		if at.Before(s.to.Add(2*time.Second)) && at.Add(4*time.Second).After(s.from) {
+			return true
+		}
+	}
+	return false
+}
+
+// Summary is the counts of outcomes and violations on one line.
+func (b *Book) Summary() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := map[string]int{}
+	for k, v := range b.outcomes {
+		counts[k] = v
+	}
+	for _, v := range b.violations {
+		counts["broken:"+string(v.Rule)]++
+	}
+	keys := make([]string, 0, len(counts))
+	for k := range counts {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	parts := make([]string, 0, len(keys))
+	for _, k := range keys {
+		parts = append(parts, fmt.Sprintf("%s=%d", k, counts[k]))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+)
+
+// client asks one proxy after another for what it wants, one request at a time.
+type client struct {
+	run *run
+	rng *rand.Rand
+	n   int // its number
+
+	proxy int
+	conn  net.Conn
+	in    *bufio.Reader
+	used  bool // a request has been answered on the connection
+	asked int
+}
+
+func (c *client) loop(ctx context.Context) {
+	defer c.drop()
+	for ctx.Err() == nil {
+		switch {
+		case c.run.troubled(Leavers) && c.rng.IntN(3) == 0:
+			c.leave()
+		case c.run.troubled(BadClients) && c.rng.IntN(3) == 0:
+			c.misbehave()
+		default:
+			c.ask()
+		}
+		pause := time.Duration(c.rng.ExpFloat64() * float64(30*time.Millisecond))
+		if c.rng.IntN(40) == 0 {
+			pause = time.Second // rests until the proxy may close
+		}
+		time.Sleep(min(pause, 4*time.Second))
+	}
+}
+
+func (c *client) drop() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// connect makes sure of a connection to a proxy that takes new ones, or to the one that it
+// has, for as long as that stays open. It tells whether there is one.
+func (c *client) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	proxy, ok := c.run.rotation(c.rng)
+	if !ok {
+		return false
+	}
+	nc, err := net.DialTimeout("tcp", c.run.proxies[proxy].addr, time.Second)
+	if err != nil {
+		return false // refused: nothing was taken
+	}
+	c.proxy, c.conn, c.in, c.used = proxy, nc, bufio.NewReader(nc), false
+	return true
+}
+
+func (c *client) draw() (id string, class Class, budget time.Duration) {
+	c.asked++
+	class = classes[c.rng.IntN(len(classes))]
+	budget = class.Deadline
+	if c.rng.IntN(8) == 0 { // what is left of a longer wait
+		budget = 5*time.Millisecond + time.Duration(c.rng.Int64N(int64(budget)))
+	}
+	return fmt.Sprintf("c%d-%d", c.n, c.asked), class, budget
+}
+
+func requestText(id string, class Class, budget time.Duration) string {
+	method, tail := "GET", "\r\n"
+	if !class.Safe {
+		method, tail = "POST", "Content-Length: 4\r\n\r\nbody"
+	}
+	return fmt.Sprintf("%s /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s",
+		method, id, class.Name, budget.Milliseconds(), tail)
+}
+
+var errSentAgain = errors.New("closed between requests")
+
+// ask makes one request and reads its answer. What crosses the close of a resting
+// connection is sent once more on a new one.
+func (c *client) ask() {
+	id, class, budget := c.draw()
+	for again := range 2 {
+		if !c.connect() {
+			return
+		}
+		err := c.exchange(id, class, budget, again == 0)
+		if err == nil {
+			return
+		}
+		c.drop()
+		if !errors.Is(err, errSentAgain) {
+			return
+		}
+	}
+}
+
+func (c *client) exchange(id string, class Class, budget time.Duration, mayCross bool) error {
+	book, proxy := c.run.book, c.proxy
+	generation := c.run.generation(proxy)
+	book.Sent(id, class, proxy, budget)
+	c.conn.SetDeadline(time.Now().Add(budget + answerSlack + time.Second))
+	_, err := io.WriteString(c.conn, requestText(id, class, budget))
+	var resp *http.Response
+	if err == nil {
+		resp, err = http.ReadResponse(c.in, nil)
+	}
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+	}
+	if err == nil {
+		book.Answered(id, resp.StatusCode, string(body))
+		c.used = true
+		if resp.Close {
+			c.drop()
+		}
+		return nil
+	}
+	crossed := mayCross && c.used && resp == nil && !book.Seen(id) && !isTimeout(err)
+	if crossed {
+		return errSentAgain
+	}
+	book.Lost(id, "no whole answer: "+err.Error(), c.run.excuse(proxy, generation, resp != nil))
+	return err
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// leave makes a request and closes the connection some milliseconds later.
+func (c *client) leave() {
+	id, class, budget := c.draw()
+	if !c.connect() {
+		return
+	}
+	c.run.book.Sent(id, class, c.proxy, budget)
+	io.WriteString(c.conn, requestText(id, class, budget))
+	time.Sleep(time.Duration(c.rng.Int64N(int64(20 * time.Millisecond))))
+	if c.rng.IntN(2) == 0 {
+		resetConn(c.conn)
+	}
+	c.drop()
+	c.run.book.Left(id)
+}
+
+// badLimit is within what time a client that sent nonsense is answered or closed.
+const badLimit = 3*time.Second + 300*time.Millisecond
+
+// misbehave sends what is no request, or half of one, and stays: it has to get an error or
+// a close in time.
+func (c *client) misbehave() {
+	id, class, budget := c.draw()
+	c.drop()
+	if !c.connect() {
+		return
+	}
+	generation, whole := c.run.generation(c.proxy), requestText(id, class, budget)
+	switch c.rng.IntN(4) {
+	case 0:
+		io.WriteString(c.conn, whole[:len(whole)/2])
+	case 1:
+		io.WriteString(c.conn, "nonsense\r\n\r\n")
+	case 2: // two at once: the first's id is not served
+		c.run.book.Sent(id, class, c.proxy, budget)
+		io.WriteString(c.conn, whole+whole)
+	case 3:
+		io.WriteString(c.conn, "POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	}
+	began := time.Now()
+	c.conn.SetReadDeadline(began.Add(badLimit + 2*time.Second))
+	if _, err := io.Copy(io.Discard, c.conn); isTimeout(err) && c.run.excuse(c.proxy, generation, false) == "" {
+		c.run.book.Breach(RuleBadClient, fmt.Sprintf("proxy %d kept a bad client for %v", c.proxy, time.Since(began)))
+	}
+	c.drop()
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,66 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Class is a class of requests, as the proxies' configuration has it.
+type Class struct {
+	Name     string
+	Deadline time.Duration
+	Safe     bool // may run any number of times
+}
+
+// The classes of a run: one that may be repeated, one that must not run twice, and one with
+// little time.
+var classes = []Class{
+	{Name: "get", Deadline: 1500 * time.Millisecond, Safe: true},
+	{Name: "pay", Deadline: 1200 * time.Millisecond},
+	{Name: "quick", Deadline: 200 * time.Millisecond, Safe: true},
+}
+
+// Plan is what a run has.
+type Plan struct {
+	Program  string // the built proxy
+	Dir      string // for configurations and logs
+	Proxies  int
+	Backends int
+	Clients  int           // for each proxy
+	Length   time.Duration // of the traffic
+	Faults   bool          // the program is built with the tag "faults": its calls fail, its clock is stepped
+	Pushed   bool          // lists are pushed: what there is counts as told at once
+}
+
+// The most that a plan may ask for, so that a run stays within a machine.
+const (
+	mostProxies  = 100
+	mostBackends = 100
+	mostLength   = 10 * time.Minute
+)
+
+// Check tells what is wrong with a plan, naming the flag.
+func (p *Plan) Check() error {
+	switch {
+	case p.Program == "":
+		return errors.New("program: missing")
+	case p.Proxies < 1 || p.Proxies > mostProxies:
+		return fmt.Errorf("proxies: %d, not from 1 to %d", p.Proxies, mostProxies)
+	case p.Backends < 2 || p.Backends > mostBackends:
+		return fmt.Errorf("backends: %d, not from 2 to %d", p.Backends, mostBackends)
+	case p.Clients < 1 || p.Clients > 20:
+		return fmt.Errorf("clients: %d, not from 1 to 20", p.Clients)
+	case p.Length < 3*time.Second || p.Length > mostLength:
+		return fmt.Errorf("length: %v, not from 3s to %v", p.Length, mostLength)
+	}
+	return nil
+}
+
+// Settings of all proxies of a run.
+const (
+	grace      = 400 * time.Millisecond // in which a told drain may still get sends
+	warmWithin = 4 * time.Second
+	coldFrom   = 0.2
+	tellWithin = 6 * time.Second // of the protocol: a change counts as told then at the latest
+)
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,226 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one proxy: what runs of it now, and what ran before under its address.
+type process struct {
+	run    *run
+	number int
+	addr   string
+	config string
+
+	mu         sync.Mutex
+	cmd        *exec.Cmd
+	exited     chan struct{} // closed once it has ended
+	exit       error
+	generation int  // counts its starts
+	ending     bool // it has been told to end
+	killed     bool // it has been killed by the run
+	ready      bool // clients may choose it
+	moves      int  // of its discovery
+}
+
+const (
+	readyWithin = 10 * time.Second
+	// endWithin is when the platform kills a process that it has told to end: the longest
+	// deadline, and 0.7 s; beside that, what the kernel and the run take.
+	endWithin = 1500*time.Millisecond + 700*time.Millisecond
+	endSlack  = 500 * time.Millisecond
+	// noticed is after what time callers no longer choose a proxy that is told to end.
+	noticed = 300 * time.Millisecond
+)
+
+func (p *process) writeConfig() error {
+	text := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x",
+"limits":{"cores":1.0,"memory_mb":96,"sockets":256},"known":%s,
+"settings":{"az":"z1","zones":["z1"],"balancers":%d,"me":%d,"stage":0,"discovery":%q,
+"classes":[%s],
+"limits":{"conn-idle-ms":2000,"dial-timeout-ms":250,"max-attempts":4,"retry-after":true,"max-retry-after-ms":500},
+"rules":{"ask-within-ms":4000,"stop-sending-within-ms":%d,"cold-from":%g,"warm-within-ms":%d}}}`,
+		p.number, p.addr, p.run.registry.addr(p.number, p.moves), p.number+1, p.run.registry.known(p.number),
+		len(p.run.proxies), p.number, p.run.discoveryKind(), classesText(),
+		grace.Milliseconds(), coldFrom, warmWithin.Milliseconds())
+	return os.WriteFile(p.config, []byte(text), 0o600)
+}
+
+func classesText() string {
+	var parts []string
+	for _, c := range classes {
+		kind := "single_shot"
+		if c.Safe {
+			kind = "free"
+		}
+		parts = append(parts, fmt.Sprintf(`{"name":%q,"aim-ms":%d,"give-up-ms":%d,"group":"all","idempotency":%q,"worth":1}`,
+			c.Name, c.Deadline.Milliseconds()/2, c.Deadline.Milliseconds(), kind))
+	}
+	return strings.Join(parts, ",")
+}
+
+// start starts the program and waits until it is ready.
+func (p *process) start() {
+	if err := p.writeConfig(); err != nil {
+		p.run.book.Void("configuration: " + err.Error())
+		return
+	}
+	log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.run.book.Void("log: " + err.Error())
+		return
+	}
+	defer log.Close()
+	cmd := exec.Command(p.run.plan.Program, "serve")
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config))
+	cmd.Env = append(cmd.Env, p.run.faultEnv(p.number)...)
+	cmd.Stdout, cmd.Stderr = log, log
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run.stopped() {
+		return
+	}
+	if err := cmd.Start(); err != nil {
+		p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d does not start: %v", p.number, err))
+		return
+	}
+	p.cmd, p.exited, p.ending, p.killed = cmd, make(chan struct{}), false, false
+	p.generation++
+	exited := p.exited
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.exit, p.ready = err, false
+		expected := p.ending || p.killed
+		p.mu.Unlock()
+		if !expected {
+			p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d ended by itself: %v", p.number, err))
+		}
+		close(exited)
+	}()
+	go p.awaitReady(exited)
+}
+
+func (p *process) logPath() string { return strings.TrimSuffix(p.config, ".json") + ".log" }
+
+// awaitReady lets clients choose the proxy once it says that it is ready.
+func (p *process) awaitReady(exited chan struct{}) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-exited:
+			return
+		default:
+		}
+		resp, err := client.Get("http://" + p.addr + "/healthz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			p.mu.Lock()
+			p.ready = !p.ending && !p.killed
+			p.mu.Unlock()
+			return
+		}
+	}
+	p.mu.Lock()
+	expected := p.ending || p.killed || p.run.stopped()
+	p.mu.Unlock()
+	if !expected {
+		p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d was not ready within %v", p.number, readyWithin))
+	}
+}
+
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// terminate tells the process to end and waits for it. It returns false where it was ending
+// already.
+func (p *process) terminate() bool {
+	p.mu.Lock()
+	if p.cmd == nil || p.ending || p.killed {
+		p.mu.Unlock()
+		return false
+	}
+	p.ending = true
+	exited := p.exited
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+	time.AfterFunc(noticed, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.ending {
+			p.ready = false
+		}
+	})
+	select {
+	case <-exited:
+	case <-time.After(endWithin + endSlack + p.run.pauseSlack()):
+		p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d has not ended %v after SIGTERM", p.number, endWithin+endSlack))
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-exited
+		return true
+	}
+	if p.exit != nil {
+		p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d ended with %v after SIGTERM", p.number, p.exit))
+	}
+	return true
+}
+
+// kill ends the process at once. It returns false where it was ending already.
+func (p *process) kill() bool {
+	p.mu.Lock()
+	if p.cmd == nil || p.ending || p.killed {
+		p.mu.Unlock()
+		return false
+	}
+	p.killed, p.ready = true, false
+	exited := p.exited
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+	<-exited
+	return true
+}
+
+// panicked looks for a panic in the log.
+func (p *process) panicked() string {
+	text, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return ""
+	}
+	for _, word := range []string{"panic:", "fatal error:", "DATA RACE"} {
+		if i := bytes.Index(text, []byte(word)); i >= 0 {
+			return string(text[i:min(len(text), i+300)])
+		}
+	}
+	return ""
+}
+
+// freePort is a loopback address that nobody listens at, below the ports that connections go
+// out from.
+func freePort(number int) (string, error) {
+	for port := 20000 + number; port < 30000; port += 101 {
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr, nil
+		}
+	}
+	return "", fmt.Errorf("no free port for proxy %d", number)
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,382 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Report is what came of a run.
+type Report struct {
+	Seed       uint64
+	Events     []Event
+	Outcomes   map[string]int
+	Violations []Violation
+	Summary    string
+	Void       string // why the run says nothing; empty: it does
+}
+
+// Passed tells whether the run says something, and nothing bad.
+func (r *Report) Passed() bool { return r.Void == "" && len(r.Violations) == 0 }
+
+// run is one run.
+type run struct {
+	plan     *Plan
+	book     *Book
+	registry *registry
+	proxies  []*process
+	over     atomic.Bool
+
+	mu       sync.Mutex
+	backends []*backend
+	uids     []string
+	serial   int
+	seed     uint64
+	troubles map[Trouble]time.Time // of clients: until when
+	longest  time.Duration         // pause of a process
+	tasks    sync.WaitGroup
+}
+
+// Run makes one run with the troubles given, and returns what came of it. All that it
+// started has ended when it returns.
+func Run(ctx context.Context, plan *Plan, seed uint64, events []Event) (*Report, error) {
+	if err := plan.Check(); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp(plan.Dir, fmt.Sprintf("seed%d-", seed))
+	if err != nil {
+		return nil, err
+	}
+	r := &run{plan: plan, book: NewBook(grace), seed: seed, troubles: map[Trouble]time.Time{}}
+	defer r.stop()
+	if err := r.prepare(dir); err != nil {
+		return nil, err
+	}
+	lag := newLagMeter()
+	traffic, endTraffic := context.WithTimeout(ctx, plan.Length)
+	defer endTraffic()
+	for _, p := range r.proxies {
+		p.start()
+	}
+	var clients sync.WaitGroup
+	for n := range plan.Proxies * plan.Clients {
+		c := &client{run: r, n: n, rng: rand.New(rand.NewPCG(seed, uint64(100+n)))}
+		clients.Go(func() { c.loop(traffic) })
+	}
+	began := time.Now()
+	for _, e := range events {
+		select {
+		case <-time.After(time.Until(began.Add(e.At))):
+		case <-traffic.Done():
+		}
+		if traffic.Err() != nil {
+			break
+		}
+		r.tasks.Go(func() { r.make(e) })
+	}
+	clients.Wait()
+	r.tasks.Wait()
+	r.over.Store(true)
+	r.book.end()
+	r.endAll()
+	if worst := lag.stop(); worst > mostLag {
+		r.book.Void(fmt.Sprintf("the machine was too busy: the run itself was held up for %v", worst))
+	}
+	report := &Report{Seed: seed, Events: events, Outcomes: r.book.Outcomes(), Violations: r.book.Violations(),
+		Summary: r.book.Summary(), Void: r.book.void()}
+	if report.Passed() {
+		os.RemoveAll(dir)
+	}
+	return report, ctx.Err()
+}
+
+// prepare starts discovery and backends, and makes the proxies' configurations.
+func (r *run) prepare(dir string) (err error) {
+	if r.registry, err = newRegistry(r.book, r.plan.Proxies); err != nil {
+		return err
+	}
+	for range r.plan.Backends {
+		if err := r.addBackend(time.Time{}); err != nil {
+			return err
+		}
+	}
+	for n := range r.plan.Proxies {
+		addr, err := freePort(n)
+		if err != nil {
+			return err
+		}
+		config := filepath.Join(dir, fmt.Sprintf("proxy%d", n), "config.json")
+		if err := os.MkdirAll(filepath.Dir(config), 0o700); err != nil {
+			return err
+		}
+		r.proxies = append(r.proxies, &process{run: r, number: n, addr: addr, config: config})
+	}
+	return nil
+}
+
+// addBackend adds a backend that has booted at a time, zero for long ago.
+func (r *run) addBackend(boot time.Time) error {
+	r.mu.Lock()
+	r.serial++
+	uid := fmt.Sprintf("s-%d", r.serial)
+	r.mu.Unlock()
+	b, err := newBackend(r.book, uid, r.plan.Proxies, r.seed+uint64(r.serial))
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.backends, r.uids = append(r.backends, b), append(r.uids, uid)
+	r.mu.Unlock()
+	r.registry.set(target{uid: uid, state: "in_service", boot: boot, backend: b})
+	return nil
+}
+
+// make makes one trouble, and returns once it is over.
+func (r *run) make(e Event) {
+	p := r.proxies[e.Target%len(r.proxies)]
+	r.mu.Lock()
+	i := e.Target % len(r.backends)
+	b, uid := r.backends[i], r.uids[i]
+	r.mu.Unlock()
+	switch e.Kind {
+	case Terminate:
+		if p.terminate() {
+			p.start()
+		}
+	case Kill:
+		if p.kill() {
+			p.start()
+		}
+	case Pause:
+		r.pause(p, e.Span)
+	case Reload:
+		for range 2 {
+			p.mu.Lock()
+			p.moves++
+			p.mu.Unlock()
+			if err := p.writeConfig(); err != nil {
+				r.book.Void(err.Error())
+			}
+			p.signal(syscall.SIGHUP)
+			time.Sleep(e.Span / 4)
+		}
+	case DiscoveryDown:
+		r.registry.goDown(e.Span)
+	case DiscoverySilent:
+		r.registry.saySilent(e.Span)
+	case DiscoverySlow:
+		r.registry.beSlow(e.Span)
+	case WatchesEnd:
+		r.registry.endWatches()
+	case Drain:
+		r.drain(i, b, uid, e.Span)
+	case Restart:
+		b.reset()
+		r.registry.set(target{uid: uid, state: "in_service", boot: time.Now(), backend: b})
+	case Reset:
+		b.reset()
+	case Hang, Errors, Full, HalfAnswers, IdleCloses:
+		b.behave(e.Kind, e.Span)
+	case Leavers, BadClients:
+		r.mu.Lock()
+		r.troubles[e.Kind] = time.Now().Add(e.Span)
+		r.mu.Unlock()
+	}
+}
+
+// drain tells that a backend is leaving, then that it is gone, and another comes in its
+// place. It answers on: what still comes must not.
+func (r *run) drain(i int, b *backend, uid string, span time.Duration) {
+	r.mu.Lock()
+	if r.uids[i] != uid { // it is leaving already
+		r.mu.Unlock()
+		return
+	}
+	r.uids[i] = uid + " leaving"
+	r.mu.Unlock()
+	r.registry.set(target{uid: uid, state: "terminating", backend: b})
+	time.Sleep(span)
+	r.registry.set(target{uid: uid, state: "terminated", backend: b})
+	r.mu.Lock()
+	r.serial++
+	fresh := fmt.Sprintf("s-%d", r.serial)
+	r.mu.Unlock()
+	next, err := newBackend(r.book, fresh, r.plan.Proxies, r.seed+uint64(r.serial))
+	if err != nil {
+		r.book.Void(err.Error())
+		return
+	}
+	r.registry.set(target{uid: fresh, state: "in_service", boot: time.Now(), backend: next})
+	r.mu.Lock()
+	r.backends, r.uids = append(r.backends, next), append(r.uids, fresh)
+	r.mu.Unlock()
+}
+
+// allowedPause is how long a proxy may be held up with all rules in force.
+const allowedPause = 150 * time.Millisecond
+
+// pause stops a process for a time.
+func (r *run) pause(p *process, span time.Duration) {
+	from := time.Now()
+	if span > allowedPause {
+		r.book.Held(p.number, from, from.Add(span+100*time.Millisecond))
+	}
+	r.mu.Lock()
+	r.longest = max(r.longest, span)
+	r.mu.Unlock()
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(span)
+	p.signal(syscall.SIGCONT)
+}
+
+// pauseSlack is what pauses may add to the end of a process.
+func (r *run) pauseSlack() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return 2 * r.longest
+}
+
+// troubled tells whether clients do as a trouble says now.
+func (r *run) troubled(kind Trouble) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.troubles[kind])
+}
+
+// rotation draws a proxy that callers may choose.
+func (r *run) rotation(rng *rand.Rand) (int, bool) {
+	for range 10 {
+		n := rng.IntN(len(r.proxies))
+		p := r.proxies[n]
+		p.mu.Lock()
+		ready := p.ready
+		p.mu.Unlock()
+		if ready {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
+// generation counts a proxy's starts.
+func (r *run) generation(proxy int) int {
+	p := r.proxies[proxy]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.generation
+}
+
+// excuse is why a request at a proxy that was not answered is no breach; empty: it is one.
+// begun tells that the answer had begun: one that can't be finished has failed and is not
+// lost, as its client can tell.
+func (r *run) excuse(proxy, generation int, begun bool) string {
+	p := r.proxies[proxy]
+	p.mu.Lock()
+	killed := p.killed || p.generation != generation && !p.ending
+	p.mu.Unlock()
+	switch {
+	case killed:
+		return "its proxy was killed"
+	case begun:
+		return "its answer was cut off in a way that tells"
+	}
+	r.book.mu.Lock()
+	defer r.book.mu.Unlock()
+	if r.book.heldUp(proxy, time.Now()) {
+		return "its proxy was stopped for long"
+	}
+	return ""
+}
+
+func (r *run) stopped() bool { return r.over.Load() }
+
+func (r *run) discoveryKind() string {
+	if r.plan.Pushed {
+		return "pushed"
+	}
+	return "on_request"
+}
+
+// faultEnv is what makes the calls of a program that is built for it fail, and steps its
+// clock: half of the processes by up to an hour.
+func (r *run) faultEnv(proxy int) []string {
+	if !r.plan.Faults {
+		return nil
+	}
+	steps := []string{"0s", "0s", "1h", "-1h", "3s", "-3s"}
+	p := r.proxies[proxy]
+	return []string{
+		"OXBOWLOFT_FAULT_WALL=" + steps[(proxy+p.generation)%len(steps)],
+		"OXBOWLOFT_FAULT_CALLS=accept=0.05,dial=0.05,write=0.3",
+		fmt.Sprintf("OXBOWLOFT_FAULT_SEED=%d", r.seed+uint64(proxy)),
+	}
+}
+
+// endAll ends all proxies in order, and judges how.
+func (r *run) endAll() {
+	var ends sync.WaitGroup
+	for _, p := range r.proxies {
+		ends.Go(func() {
+			p.terminate()
+			if text := p.panicked(); text != "" {
+				r.book.Breach(RuleCrash, fmt.Sprintf("proxy %d: %s", p.number, text))
+			}
+		})
+	}
+	ends.Wait()
+}
+
+// stop ends what is still there, by id.
+func (r *run) stop() {
+	r.over.Store(true)
+	r.book.end()
+	for _, p := range r.proxies {
+		p.kill()
+	}
+	for _, b := range r.backends {
+		b.close()
+	}
+	if r.registry != nil {
+		r.registry.close()
+	}
+}
+
+// mostLag is how long the run itself may be held up: past it, what looks like a fault of a
+// proxy may be one of the machine.
+const mostLag = 150 * time.Millisecond
+
+// lagMeter measures by how much a short sleep takes longer than asked.
+type lagMeter struct {
+	over  chan struct{}
+	worst chan time.Duration
+}
+
+func newLagMeter() *lagMeter {
+	m := &lagMeter{over: make(chan struct{}), worst: make(chan time.Duration, 1)}
+	go func() {
+		var worst time.Duration
+		for {
+			select {
+			case <-m.over:
+				m.worst <- worst
+				return
+			default:
+			}
+			began := time.Now()
+			time.Sleep(5 * time.Millisecond)
+			worst = max(worst, time.Since(began)-5*time.Millisecond)
+		}
+	}()
+	return m
+}
+
+func (m *lagMeter) stop() time.Duration {
+	close(m.over)
+	return <-m.worst
+}
