Soak: a planted breach of each rule is seen to be caught

A rogue proxy in the tests breaks one rule at a time, and the soak's books tell each as what it is. Listeners of different kinds have hosts of their own: a closed one's port was taken by another kind, which looked like a foreign request.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -37,7 +37,7 @@
 		rng: rand.New(rand.NewPCG(seed, 2)),
 	}
 	for proxy := range proxies {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", host(hostBackends)+":0")
 		if err != nil {
 			b.close()
 			return nil, err
--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -60,7 +60,7 @@
 func newRegistry(book *Book, proxies int) (*registry, error) {
 	r := &registry{book: book, targets: map[string]target{}, changed: make(chan struct{}), ended: make(chan struct{})}
 	for i := range proxies * addresses {
-		s := &registryServer{registry: r, proxy: i / addresses, addr: "127.0.0.1:0"}
+		s := &registryServer{registry: r, proxy: i / addresses, addr: host(hostRegistry) + ":0"}
 		r.servers = append(r.servers, s)
 		if err := s.listen(); err != nil {
 			r.close()
--- /dev/null
+++ b/internal/soak/rogue_test.go
@@ -0,0 +1,285 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// rogueVariable names the rule that a rogue proxy breaks now and then; "none" breaks none.
+const rogueVariable = "OXBOWSOAK_ROGUE"
+
+// TestMain is the rogue proxy where it is started as one, and runs the tests otherwise.
+func TestMain(m *testing.M) {
+	if rule := os.Getenv(rogueVariable); rule != "" {
+		rogue(Rule(rule))
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// rogue is a small proxy with a planted fault: it sends each request to one backend of the
+// list that it started with, or that it was told of last.
+func rogue(plant Rule) {
+	var config struct {
+		Listen    string
+		Discovery string
+		Known     struct{ Targets []wireTarget }
+	}
+	text, err := os.ReadFile(os.Getenv("BALANCER_CONFIG"))
+	if err != nil || json.Unmarshal(text, &config) != nil {
+		os.Exit(3)
+	}
+	ln, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		os.Exit(4)
+	}
+	var targets atomic.Pointer[[]wireTarget]
+	targets.Store(&config.Known.Targets)
+	followed := &targets
+	if plant == RuleDrain { // it is told, and goes by the old list
+		followed = &atomic.Pointer[[]wireTarget]{}
+		followed.Store(&config.Known.Targets)
+	}
+	go followList(config.Discovery, followed)
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM)
+	if plant != RuleCrash {
+		go func() {
+			<-ended
+			time.Sleep(time.Second) // what is under way is answered
+			os.Exit(0)
+		}()
+	}
+	for n := 0; ; n++ {
+		c, err := ln.Accept()
+		if err != nil {
+			os.Exit(5)
+		}
+		go serveRogue(c, plant, &targets)
+	}
+}
+
+// followList keeps the list by a watch.
+func followList(addr string, targets *atomic.Pointer[[]wireTarget]) {
+	for ; ; time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://" + addr + "/v1/servers?stream=1&index=0")
+		if err != nil {
+			continue
+		}
+		lists := json.NewDecoder(resp.Body)
+		for {
+			var list struct {
+				All     bool
+				Targets []wireTarget
+			}
+			if lists.Decode(&list) != nil {
+				break
+			}
+			now := slices.Clone(*targets.Load())
+			if list.All {
+				now = nil
+			}
+			for _, t := range list.Targets {
+				now = slices.DeleteFunc(now, func(x wireTarget) bool { return x.UID == t.UID })
+				if t.State == "in_service" {
+					now = append(now, t)
+				}
+			}
+			targets.Store(&now)
+		}
+		resp.Body.Close()
+	}
+}
+
+func serveRogue(c net.Conn, plant Rule, targets *atomic.Pointer[[]wireTarget]) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		if plant != RuleBadClient {
+			c.SetReadDeadline(time.Now().Add(2500 * time.Millisecond))
+		}
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			if plant == RuleBadClient {
+				time.Sleep(time.Hour)
+			}
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil || req.Header.Get("X-Request-ID") == "" && req.URL.Path != "/healthz" {
+			return
+		}
+		if req.URL.Path == "/healthz" {
+			reply(c, http.StatusOK, "", "ok\n")
+			continue
+		}
+		if !forwardRogue(c, req, plant, *targets.Load()) {
+			return
+		}
+	}
+}
+
+// forwardRogue sends a request on and answers it, with the planted fault one time in ten.
+func forwardRogue(c net.Conn, req *http.Request, plant Rule, targets []wireTarget) bool {
+	planted := rand.IntN(10) == 0
+	if len(targets) == 0 {
+		return reply(c, http.StatusServiceUnavailable, "", "none\n")
+	}
+	if plant == RuleGone { // whether its client is there or not
+		time.Sleep(400 * time.Millisecond)
+	}
+	to := targets[rand.IntN(len(targets))].Endpoint
+	told := req.Header.Get("X-Timeout-Ms")
+	if planted && plant == RuleDeadline {
+		told = "3000"
+	}
+	status, body := sendRogue(to, req, told)
+	if status == 0 {
+		return reply(c, http.StatusBadGateway, "", "failed\n")
+	}
+	if !planted {
+		return reply(c, status, "", body)
+	}
+	switch plant {
+	case RuleLost:
+		return false
+	case RuleForeign:
+		body = "something else\n"
+	case RuleDuplicate:
+		sendRogue(to, req, told)
+	case RuleRefused:
+		status = http.StatusServiceUnavailable
+	case RuleCrash:
+		os.Exit(6)
+	}
+	return reply(c, status, "", body)
+}
+
+// sendRogue makes one attempt; status 0 is none.
+func sendRogue(addr string, req *http.Request, told string) (status int, body string) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	length := ""
+	if req.Method == http.MethodPost {
+		length = "Content-Length: 0\r\n"
+	}
+	fmt.Fprintf(c, "%s /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %s\r\n%s\r\n", req.Method,
+		req.Header.Get("X-Request-ID"), told, length)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(text)
+}
+
+// planted is a plan whose program is the rogue proxy.
+func planted(t *testing.T, rule Rule) *Plan {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "rogue")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	script := fmt.Sprintf("#!/bin/sh\n%s=%s exec %s\n", rogueVariable, rule, self)
+	if err := os.WriteFile(program, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return &Plan{Program: program, Dir: dir, Proxies: 2, Backends: 3, Clients: 3, Length: 4 * time.Second}
+}
+
+// A planted breach of each rule is seen, and told as what it is.
+func TestPlantedFaults(t *testing.T) {
+	leavers := []Event{{At: 500 * time.Millisecond, Kind: Leavers, Span: 3 * time.Second}}
+	for _, c := range []struct {
+		rule   Rule
+		events []Event
+	}{
+		{RuleLost, nil},
+		{RuleForeign, nil},
+		{RuleDuplicate, nil},
+		{RuleRefused, nil},
+		{RuleDeadline, nil},
+		{RuleCrash, nil},
+		{RuleGone, leavers},
+		{RuleDrain, []Event{{At: 500 * time.Millisecond, Kind: Drain, Span: 3 * time.Second}}},
+		{RuleBadClient, []Event{{At: 300 * time.Millisecond, Kind: BadClients, Span: 3 * time.Second}}},
+	} {
+		t.Run(string(c.rule), func(t *testing.T) {
+			t.Parallel()
+			plan := planted(t, c.rule)
+			report, err := Run(context.Background(), plan, 1, c.events)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !report.breaks(c.rule) {
+				t.Errorf("not seen: %s; void %q", report.Summary, report.Void)
+			}
+		})
+	}
+}
+
+// A short run of the built proxy, without system calls that fail, breaks no rule.
+func TestSoakShort(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "oxbowloft")
+	if text, err := exec.Command("go", "build", "-o", program, "oxbowloft/cmd/oxbowloft").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	plan := &Plan{Program: program, Dir: dir, Proxies: 6, Backends: 4, Clients: 2, Length: 6 * time.Second}
+	report, err := Run(context.Background(), plan, 1, Schedule(1, plan))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Outcomes["served"] == 0 {
+		t.Errorf("nothing was served: %s", report.Summary)
+	}
+	for _, v := range report.Violations {
+		t.Errorf("%s: %s\n%s", v.Rule, v.Detail, strings.Join(v.Trace, "\n"))
+	}
+}
+
+// The same seed draws the same troubles, and another seed others.
+func TestScheduleIsDrawn(t *testing.T) {
+	plan := &Plan{Length: 10 * time.Second}
+	if !slices.Equal(Schedule(7, plan), Schedule(7, plan)) {
+		t.Error("one seed, two schedules")
+	}
+	if slices.Equal(Schedule(7, plan), Schedule(8, plan)) {
+		t.Error("two seeds, one schedule")
+	}
+	kinds := map[Trouble]bool{}
+	for seed := range uint64(50) {
+		for _, e := range Schedule(seed, plan) {
+			kinds[e.Kind] = true
+		}
+	}
+	for _, kind := range troubles {
+		if !kinds[kind] {
+			t.Errorf("%s is never drawn", kind)
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -107,7 +107,7 @@
 		}
 	}
 	for n := range r.plan.Proxies {
-		addr, err := freePort(n)
+		addr, err := freePort()
 		if err != nil {
 			return err
 		}
--- a/internal/sourcecheck/wallclock_test.go
+++ b/internal/sourcecheck/wallclock_test.go
@@ -23,6 +23,7 @@
 
 // allowed are the places that may read the wall clock, with the reason.
 var allowed = map[string]string{
+	"internal/soak/registry.go: UnixMilli":   "the stamps of starts that the stand-in for discovery gives",
 	"proxy/clock.go: UnixNano":               "the stamps of starts that discovery gives are Unix time; read once, at the start",
 	"internal/scale/report/markdown.go: UTC": "the date of a run in its report",
 	"proxy/state.go: ModTime":                "compared for equality with itself alone, to see that a file is another",
