--- /dev/null
+++ b/logic/cost_test.go
@@ -0,0 +1,89 @@
+package logic
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// answering is Actions that notes the last send.
+type answering struct {
+	request, backend string
+	sent             bool
+}
+
+func (a *answering) Send(request, backend string, _ time.Duration) {
+	a.request, a.backend, a.sent = request, backend, true
+}
+func (a *answering) Refuse(string, time.Duration, Cause) {}
+func (a *answering) Fail(string, Cause)                  {}
+func (a *answering) Wake(uint64, time.Duration)          {}
+func (a *answering) CloseIdle(string)                    {}
+func (a *answering) Cancel(string, int)                  {}
+
+// callBalancer is a balancer that knows so many backends, of which one in a hundred is cold,
+// and is one of so many.
+func callBalancer(backends, balancers int) (*Balancer, *answering) {
+	act := &answering{}
+	set := Settings{Zone: "a", Zones: []string{"a", "b", "c"}, Balancers: balancers, Me: 3, MaxAttempts: 4,
+		Grace: 300 * ms, ColdShare: 0.2, WarmWithin: time.Hour, MaxComeBack: time.Second,
+		Classes: []Class{{Name: "read", Aim: 200 * ms, Deadline: time.Second, Worth: 1}}}
+	balancer := New(0, set, act)
+	lines := make([]Backend, backends)
+	for i := range lines {
+		lines[i] = Backend{ID: "s-" + strconv.Itoa(i), Zone: set.Zones[i%3], Size: 1}
+		if i%100 == 99 {
+			lines[i].Started = 1
+		}
+	}
+	balancer.List(0, true, lines)
+	return balancer, act
+}
+
+// call is the i-th call, 10 ms after the one before, which is served in 5 ms.
+func call(balancer *Balancer, act *answering, i int) {
+	now, id := Time(i)*10*ms, strconv.Itoa(i)
+	act.sent = false
+	balancer.Arrive(now, Request{ID: id, Budget: time.Second})
+	if act.sent {
+		balancer.Done(now+5*ms, Outcome{Request: id, Result: OK, Latency: 5 * ms, Final: true})
+	}
+}
+
+// BenchmarkCall is a call that is served at once, by how many backends and balancers there
+// are, as the operators' page has them.
+func BenchmarkCall(b *testing.B) {
+	for _, c := range []struct{ backends, balancers int }{{6, 6}, {64, 100}, {200, 300}, {800, 900}, {3200, 900}} {
+		b.Run(fmt.Sprintf("backends=%d", c.backends), func(b *testing.B) {
+			balancer, act := callBalancer(c.backends, c.balancers)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				call(balancer, act, i)
+			}
+		})
+	}
+}
+
+// What a call costs does not grow with the backends that are known: a hundredfold may cost a
+// few times as much, for memory that is met seldom, and no more. Guards against loops over
+// all backends on the way of a call.
+func TestCallCost(t *testing.T) {
+	const most = 8
+	least := func(backends int) time.Duration {
+		best := time.Hour
+		for range 5 {
+			balancer, act := callBalancer(backends, 900)
+			began := time.Now()
+			for i := range 2000 {
+				call(balancer, act, i)
+			}
+			best = min(best, time.Since(began))
+		}
+		return best
+	}
+	few, many := least(32), least(3200)
+	if many > most*few {
+		t.Errorf("2,000 calls take %v with 32 known backends and %v with 3,200: over %d times as long", few, many, most)
+	}
+}
