A call no longer walks all backends that are known

Cause: tally, pick, rotate, dueTrial, settle, admit and correctLimit walked all members, several times a call.

Change: logic/tally.go keeps the sums of each set of members up to date: made anew when a list, a ban, an ejection or an arc changes, calls in flight by event, cold members apart, the ejected ones listed. The rotation looks past a balancer's reach only where none within will do; the turns of the others pass when they are looked at. Tests that set fields of the module by hand say so to the sums; their assertions stand.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,7 +35,7 @@
 
 	mu       sync.Mutex
 	backends []*backend
-	uids     []string
+	leaving  map[*backend]bool // they are no longer in service
 	serial   int
 	seed     uint64
 	troubles map[Trouble]time.Time // of clients: until when
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{plan: plan, book: NewBook(grace), seed: seed, troubles: map[Trouble]time.Time{}}
+	r := &run{plan: plan, book: NewBook(grace), seed: seed, troubles: map[Trouble]time.Time{}, leaving: map[*backend]bool{}}
 	defer r.stop()
 	if err := r.prepare(dir); err != nil {
 		return nil, err
@@ -131,7 +131,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.backends, r.uids = append(r.backends, b), append(r.uids, uid)
+	r.backends = append(r.backends, b)
 	r.mu.Unlock()
 	r.registry.set(target{uid: uid, state: "in_service", boot: boot, backend: b})
 	return nil
@@ -141,8 +141,8 @@
 func (r *run) make(e Event) {
 	p := r.proxies[e.Target%len(r.proxies)]
 	r.mu.Lock()
-	i := e.Target % len(r.backends)
-	b, uid := r.backends[i], r.uids[i]
+	b := r.backends[e.Target%len(r.backends)]
+	leaving := r.leaving[b]
 	r.mu.Unlock()
 	switch e.Kind {
 	case Terminate:
@@ -175,10 +175,12 @@
 	case WatchesEnd:
 		r.registry.endWatches()
 	case Drain:
-		r.drain(i, b, uid, e.Span)
+		r.drain(b, e.Span)
 	case Restart:
 		b.reset()
-		r.registry.set(target{uid: uid, state: "in_service", boot: time.Now(), backend: b})
+		if !leaving {
+			r.registry.set(target{uid: b.name, state: "in_service", boot: time.Now(), backend: b})
+		}
 	case Reset:
 		b.reset()
 	case Hang, Errors, Full, HalfAnswers, IdleCloses:
@@ -192,17 +194,17 @@
 
 // drain tells that a backend is leaving, then that it is gone, and another comes in its
 // place. It answers on: what still comes must not.
-func (r *run) drain(i int, b *backend, uid string, span time.Duration) {
+func (r *run) drain(b *backend, span time.Duration) {
 	r.mu.Lock()
-	if r.uids[i] != uid { // it is leaving already
-		r.mu.Unlock()
+	already := r.leaving[b]
+	r.leaving[b] = true
+	r.mu.Unlock()
+	if already {
 		return
 	}
-	r.uids[i] = uid + " leaving"
-	r.mu.Unlock()
-	r.registry.set(target{uid: uid, state: "terminating", backend: b})
+	r.registry.set(target{uid: b.name, state: "terminating", backend: b})
 	time.Sleep(span)
-	r.registry.set(target{uid: uid, state: "terminated", backend: b})
+	r.registry.set(target{uid: b.name, state: "terminated", backend: b})
 	r.mu.Lock()
 	r.serial++
 	fresh := fmt.Sprintf("s-%d", r.serial)
@@ -214,7 +216,7 @@
 	}
 	r.registry.set(target{uid: fresh, state: "in_service", boot: time.Now(), backend: next})
 	r.mu.Lock()
-	r.backends, r.uids = append(r.backends, next), append(r.uids, fresh)
+	r.backends = append(r.backends, next)
 	r.mu.Unlock()
 }
 
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -74,7 +74,7 @@
 // settle keeps account of what the limit left unused, in calls of mean length. Guards against a limit of
 // about one call, as each of many balancers has, that refuses by chance what there is room for.
 func (b *Balancer) settle(now Time) tally {
-	t := b.tally(now, b.listed)
+	t := b.tally(now, &b.all)
 	b.saved += (b.limit()*t.warm - t.calls) * float64(now-b.settled) / max(b.hold, 1)
 	most := b.credit(t)
 	b.saved = max(-most-1, min(most, b.saved))
@@ -95,7 +95,7 @@
 
 // correctLimit moves the limit towards the target strain while it is in use: a quiet hour tells nothing.
 func (b *Balancer) correctLimit(now Time, c *class, strain float64) {
-	t := b.tally(now, b.listed)
+	t := b.tally(now, &b.all)
 	// Guards against work turned away where latencies are long without any queue. One late call counts as 1.
 	target := max(strainTarget, min(strainCeiling, restFactor*c.rest/float64(max(c.Aim, 1))))
 	if b.set.Uneven { // a few calls tell of no latency at rest
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -36,7 +36,7 @@
 
 func TestLimitFollowsStrain(t *testing.T) {
 	b, _ := start(testSettings(), zoneLines("b", 4)...)
-	b.backends["b0"].inFlight = 100
+	b.addInFlight(b.backends["b0"], 100)
 	before := b.limit()
 	b.correctLimit(0, &b.classes[safe], 2*strainTarget)
 	if b.limit() >= before {
@@ -47,7 +47,8 @@
 	if b.limit() <= before {
 		t.Error("early answers did not raise the limit")
 	}
-	b.backends["b0"].inFlight, before = 0, b.limit()
+	b.addInFlight(b.backends["b0"], -100)
+	before = b.limit()
 	b.correctLimit(0, &b.classes[safe], 0)
 	b.correctLimit(0, &b.classes[safe], 1)
 	if b.limit() != before {
@@ -63,7 +64,7 @@
 		for i := range 3000 {
 			id, now := fmt.Sprint("r", i), Time(i)*20*ms
 			for _, m := range b.listed { // in use all the time
-				m.inFlight = int(b.limit()) + 1
+				b.addInFlight(m, int(b.limit())+1-m.inFlight)
 			}
 			b.requests[id] = &request{Request: Request{ID: id, Class: safe}, deadline: now + 2000*ms, out: 1,
 				attempts: []attempt{{to: b.listed[i%4], sent: now}}}
@@ -114,6 +115,7 @@
 	ejected := admitted(func(b *Balancer) {
 		for _, m := range b.listed[:4] {
 			m.ejected, m.inFlight, m.trialAt = 1, 4, 1000*ms // with calls that hang there
+			b.version++
 		}
 	})
 	if all != 35 || half != 19 || ejected != 19 {
@@ -127,7 +129,7 @@
 	drop := func(limit float64) float64 {
 		b, _ := start(testSettings(), zoneLines("b", 4)...)
 		b.setLimit(limit * b.base)
-		b.backends["b0"].inFlight = 1000
+		b.addInFlight(b.backends["b0"], 1000)
 		before := b.limit()
 		b.correctLimit(0, &b.classes[safe], 1)
 		return before - b.limit()
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -21,6 +21,8 @@
 	backends map[string]*backend
 	banned   map[string]bool // by hand, whatever the list says; they need not be in it
 	listed   []*backend      // in the order of the groups
+	all      summary         // of listed
+	version  int             // of what summaries go by, but for calls in flight and the time
 	size     float64         // of them all
 	groups   []*group        // own zone first
 	requests map[string]*request
@@ -58,7 +60,9 @@
 
 type group struct {
 	members []*backend
-	near    []*backend // whose mean a busy one is held to: those within reach, where traffic is unlike
+	all     summary    // of members
+	near    summary    // whose mean a busy one is held to: those within reach, where traffic is unlike
+	reached []*backend // those within reach
 	turn    float64    // of the last one in rotation
 	size    float64    // of them all
 }
@@ -76,6 +80,7 @@
 	group    *group
 	part     float64 // of its size that is within this balancer's reach
 	past     float64 // the reach, in rings: used in that order, so that not all learn all of a slow spell
+	near     bool    // one of its group's near
 	sent     Time    // last, or when it was first heard of
 	spacing  float64 // what part of the spacing of cold calls must pass after that
 	paused   Time    // full lately: until then
@@ -166,7 +171,7 @@
 	a.notRun = a.lost || o.Result == Full || o.Result == NeverSent || o.Result == Late
 	b.settle(now)
 	q.out--
-	a.to.inFlight -= a.load
+	b.addInFlight(a.to, -a.load)
 	b.learnFrom(now, q, a, o)
 	q.ended, q.spent = q.ended || o.Final, q.spent || o.Spent
 	if !q.ended && q.out == 0 {
@@ -192,7 +197,7 @@
 	if q := b.requests[id]; q != nil && q.out > 0 {
 		a := &q.attempts[len(q.attempts)-1]
 		b.settle(now)
-		a.to.inFlight += 1 - a.load
+		b.addInFlight(a.to, 1-a.load)
 		a.sent, a.load = now, 1
 	}
 }
--- a/logic/ban_test.go
+++ b/logic/ban_test.go
@@ -251,10 +251,10 @@
 // of the calls would crowd the rest.
 func TestDetachedShrinksLimit(t *testing.T) {
 	b, _ := start(testSettings(), zoneLines("b", 4)...)
-	before := b.tally(0, b.listed)
+	before := b.tally(0, &b.all)
 	b.Detach("b0")
 	b.Detach("b1")
-	if got := b.tally(0, b.listed); got.count != before.count-2 || got.warm != before.warm-2 {
+	if got := b.tally(0, &b.all); got.count != before.count-2 || got.warm != before.warm-2 {
 		t.Errorf("%+v with all, %+v with two out", before, got)
 	}
 }
--- a/logic/cost_test.go
+++ b/logic/cost_test.go
@@ -54,7 +54,9 @@
 // BenchmarkCall is a call that is served at once, by how many backends and balancers there
 // are, as the operators' page has them.
 func BenchmarkCall(b *testing.B) {
-	for _, c := range []struct{ backends, balancers int }{{6, 6}, {64, 100}, {200, 300}, {800, 900}, {3200, 900}} {
+	for _, c := range []struct{ backends, balancers int }{
+		{6, 6}, {64, 100}, {200, 300}, {800, 900}, {3200, 900},
+	} {
 		b.Run(fmt.Sprintf("backends=%d", c.backends), func(b *testing.B) {
 			balancer, act := callBalancer(c.backends, c.balancers)
 			b.ReportAllocs()
@@ -84,6 +86,6 @@
 	}
 	few, many := least(32), least(3200)
 	if many > most*few {
-		t.Errorf("2,000 calls take %v with 32 known backends and %v with 3,200: over %d times as long", few, many, most)
+		t.Errorf("2,000 calls take %v with 32 known backends, %v with 3,200: over %d times as long", few, many, most)
 	}
 }
--- a/logic/list.go
+++ b/logic/list.go
@@ -22,7 +22,7 @@
 		b.update(now, l)
 	}
 	b.regroup()
-	if t := b.tally(now, b.listed); b.base == 0 && t.size > 0 {
+	if t := b.tally(now, &b.all); b.base == 0 && t.size > 0 {
 		b.open, b.base = 1, limitPerBackend*t.count/t.size/float64(max(b.set.Balancers, 1))
 	}
 }
@@ -43,6 +43,7 @@
 // Detach takes a backend out by hand, until Attach and whatever the list says meanwhile.
 func (b *Balancer) Detach(id string) {
 	b.banned[id] = true
+	b.version++
 	b.act.CloseIdle(id)
 }
 
@@ -55,6 +56,7 @@
 		m.ejected, m.trialAt = int(one(m.spacing == 0)), now+b.jitter(b.patience)-b.patience/2
 	}
 	delete(b.banned, id)
+	b.version++
 }
 
 // Knows tells whether a backend is listed or out by hand.
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -23,7 +23,8 @@
 	if c.Repeat == Unsafe || 2*c.allowance > float64(q.available(now)) {
 		due -= b.patience
 	}
-	for _, m := range b.listed {
+	b.tally(now, &b.all) // so that the ejected ones are those of now
+	for _, m := range b.all.ejected {
 		first := len(q.attempts) == 0 && m.ejected > 0 && !m.trialOut
 		if first && due >= m.trialAt && now >= m.paused && b.allowed(now, q, m) {
 			return m
@@ -47,6 +48,7 @@
 	switch {
 	case a.trial && !failed:
 		m.ejected, m.failures = 0, 0
+		b.version++
 	case a.trial && m.ejected > 0, !a.trial && failed && m.ejected == 0 && b.outlier(now, m):
 		b.eject(now, m)
 	}
@@ -64,10 +66,11 @@
 
 func (b *Balancer) eject(now Time, m *backend) {
 	m.trialAt, m.ejected = now+b.jitter(b.patience<<min(m.ejected, ejectGrowth)), m.ejected+1
+	b.version++
 }
 
 // outlier tells whether m fails more than chance makes of what all share: a few in a hundred may anywhere.
 func (b *Balancer) outlier(now Time, m *backend) bool {
-	peers := b.tally(now, b.listed).count - 1
+	peers := b.tally(now, &b.all).count - 1
 	return peers >= (1-ejectMost)*float64(len(b.listed)) && m.failures > ejectShare+ejectFactor*b.failing
 }
--- a/logic/outlier_test.go
+++ b/logic/outlier_test.go
@@ -97,6 +97,7 @@
 	b, f := start(testSettings(), zoneLines("b", 8)...)
 	b.set.Tier = 1
 	for _, m := range b.listed[:5] {
+		b.version++
 		m.ejected, m.trialAt = 1, 1000*ms
 	}
 	got := map[string]int{}
--- a/logic/owntraffic_test.go
+++ b/logic/owntraffic_test.go
@@ -69,11 +69,11 @@
 func TestRetriesAreNoTraffic(t *testing.T) {
 	b, f := start(uneven(), zoneLines("b", 10)...)
 	_, now := feed(b, f, 0, 300, 100*ms, 100*ms, false)
-	base, arc, near := b.base, b.arc, len(b.groups[0].near)
+	base, arc, near := b.base, b.arc, len(b.groups[0].near.members)
 	refused, _ := feed(b, f, now, 300, 5*ms, 100*ms, true)
-	if b.base != base || b.arc != arc || len(b.groups[0].near) != near {
+	if b.base != base || b.arc != arc || len(b.groups[0].near.members) != near {
 		t.Errorf("base %v, arc %v, %d near; before the retries %v, %v, %d",
-			b.base, b.arc, len(b.groups[0].near), base, arc, near)
+			b.base, b.arc, len(b.groups[0].near.members), base, arc, near)
 	}
 	if refused == 0 {
 		t.Error("no retry of a flood was refused")
--- a/logic/retry_test.go
+++ b/logic/retry_test.go
@@ -382,6 +382,7 @@
 			}
 			q := &request{Request: Request{Class: safe}, attempts: []attempt{{to: m}}}
 			b.learnFrom(Time(i)*100*ms, q, &q.attempts[0], Outcome{Result: o, Latency: latency})
+			b.version++
 			m.ejected = 0
 		}
 		if slow := m.slowness > 1.5; slow != c.slow {
--- a/logic/selection.go
+++ b/logic/selection.go
@@ -27,8 +27,8 @@
 	if t := b.dueTrial(now, q); t != nil {
 		return t
 	}
-	failing := func(g *group) float64 { return 1 - b.tally(now, g.members).count/float64(len(g.members)) }
-	load := func(g *group) float64 { return b.tally(now, g.members).load(0) }
+	failing := func(g *group) float64 { return 1 - b.tally(now, &g.all).count/float64(len(g.members)) }
+	load := func(g *group) float64 { return b.tally(now, &g.all).load(0) }
 	open := filter(b.groups, func(g *group) bool {
 		return slices.ContainsFunc(g.members, func(m *backend) bool { return b.usable(now, q, m) })
 	})
@@ -66,7 +66,7 @@
 			why = max(why, ListStale)
 		case !b.mayRepeat(now, q, m):
 			return MayHaveRun
-		case b.tooSoon(now, m):
+		case m.warmth(now, &b.set) < 1:
 			why = max(why, SlowStart)
 		default:
 			why = Avoided
@@ -85,24 +85,50 @@
 	return b.sure(now, m) && !b.tooSoon(now, m) && b.mayRepeat(now, q, m)
 }
 
-// rotate gives the call to the member whose turn is next; turns of those well above mean are lost.
+// rotate gives the call to the member whose turn is next; turns of those well above mean are lost. Those
+// past the reach are looked at only where none within it will do.
 func (b *Balancer) rotate(now Time, q *request, g *group) *backend {
-	var next *backend
-	t, least := b.tally(now, g.near), 2.0
-	for _, m := range g.members {
+	next, past := b.nextOf(now, q, g, g.reached)
+	if next == nil || past > 0 {
+		next, _ = b.nextOf(now, q, g, g.members)
+	}
+	if next != nil {
+		g.turn = max(g.turn, next.turn)
+		next.turn = g.turn + next.pace()
+	}
+	return next
+}
+
+// nextOf is the member of some whose turn is next among those least past the reach, and how far that is.
+func (b *Balancer) nextOf(now Time, q *request, g *group, members []*backend) (next *backend, least float64) {
+	t, least := b.tally(now, &g.near), 2.0
+	for _, m := range members {
 		usable, past := b.usable(now, q, m), max(m.past, one(b.busy(now, m, t)))
-		if (past > 0 || !usable) && m.turn <= g.turn { // its phase stays: guards against
-			m.turn = g.turn + m.pace() - math.Mod(g.turn-m.turn, m.pace()) // hundreds at the first ids
+		if past > 0 || !usable {
+			g.pass(m)
 		}
 		if usable && (past < least || past == least && m.turn < next.turn) {
 			next, least = m, past
 		}
 	}
-	if next != nil {
-		g.turn = max(g.turn, next.turn)
-		next.turn = g.turn + next.pace()
+	return next, least
+}
+
+// pass lets a member's turns pass that came while it was out of the rotation. Its phase stays: guards
+// against hundreds at the first ids.
+func (g *group) pass(m *backend) {
+	if m.turn <= g.turn {
+		m.turn = g.turn + m.pace() - math.Mod(g.turn-m.turn, m.pace())
+	}
+}
+
+// passAll does so for all that are past the reach, which may be laid anew next.
+func (g *group) passAll() {
+	for _, m := range g.members {
+		if m.past > 0 {
+			g.pass(m)
+		}
 	}
-	return next
 }
 
 // busy tells whether m, with one more call, is well above the mean. A slow one's count for more, a departure.
@@ -120,27 +146,6 @@
 	return max(paceLeast, m.slowness) / cmp.Or(m.part, m.Size)
 }
 
-// A tally sums up backends in use: the limit shrinks with them. Ejected ones keep their parts from the cold.
-type tally struct{ count, calls, size, warm, parts, reach float64 }
-
-func (b *Balancer) tally(now Time, members []*backend) (t tally) {
-	for _, m := range members {
-		part, warmth := m.part*one(m.State == Up), m.warmth(now, &b.set)
-		t.parts += part
-		t.reach += part * warmth
-		if m.ejected == 0 && b.serving(m) {
-			t.count++
-			t.calls += float64(m.inFlight)
-			t.size += m.Size
-			t.warm += m.Size * warmth
-		}
-	}
-	return t
-}
-
-// load is the mean of own calls in flight for each unit of size, with more added to each backend.
-func (t tally) load(more float64) float64 { return (t.calls + more*t.count) / max(t.size, 1e-9) }
-
 // regroup forgets the backends that are gone (attempts still out hold their own pointers) and orders the
 // rest by group: own zone first, then around the ring of zones, so that zones spill into different ones.
 func (b *Balancer) regroup() {
@@ -160,6 +165,9 @@
 	slices.SortFunc(b.listed, func(x, y *backend) int {
 		return cmp.Or(rank(x)-rank(y), cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.ID, y.ID))
 	})
+	for _, g := range b.groups {
+		g.passAll()
+	}
 	b.groups, b.size = nil, 0
 	for i, m := range b.listed {
 		b.size += m.Size
@@ -174,6 +182,10 @@
 		g.members, m.group = append(g.members, m), g
 		g.size += m.Size
 	}
+	b.all.members = b.listed
+	for _, g := range b.groups {
+		g.all.members = g.members
+	}
 	b.reach()
 }
 
@@ -186,15 +198,20 @@
 	for _, g := range b.groups {
 		arc := max(b.arc, g.size*max(share, reachLeast/float64(len(g.members))))
 		at := -g.size * math.Mod(golden*float64(b.set.Me), 1)
-		g.near = g.near[:0]
+		g.passAll()
+		g.near.members, g.reached = g.near.members[:0], g.reached[:0]
 		for _, m := range g.members {
 			lap := func(at float64) float64 { return max(0, min(arc, at+m.Size)-max(0, at)) }
 			m.part = min(m.Size, lap(at)+lap(at+g.size))
 			m.past = one(m.part == 0) * max(1e-9, (at+g.size*one(at < 0)-arc)/g.size)
 			at += m.Size
-			if m.part > 0 || !b.set.Uneven {
-				g.near = append(g.near, m)
+			if m.near = m.part > 0 || !b.set.Uneven; m.near {
+				g.near.members = append(g.near.members, m)
+			}
+			if m.part > 0 {
+				g.reached = append(g.reached, m)
 			}
 		}
 	}
+	b.version++
 }
--- a/logic/selection_test.go
+++ b/logic/selection_test.go
@@ -41,7 +41,7 @@
 			t.Errorf("%s got %d of 8 calls, want 2: %v", id, n, seen)
 		}
 	}
-	b.backends["b2"].inFlight += 20
+	b.addInFlight(b.backends["b2"], 20)
 	for i := range 6 {
 		b.Arrive(0, Request{ID: fmt.Sprint("s", i), Class: safe, Budget: 2000 * ms})
 		if f.last(t).backend == "b2" {
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -12,9 +12,9 @@
 	if warmth == 1 {
 		return false
 	}
-	among := m.group.members
+	among := &m.group.all
 	if m.Zone != b.set.Zone {
-		among = b.listed
+		among = &b.all
 	}
 	t, part := b.tally(now, among), max(m.part, 1e-9)*warmth // out of reach: as good as never
 	return float64(now-m.sent) < m.spacing*b.gap*max(m.Size, t.parts, coldCaution*t.reach)/part
--- /dev/null
+++ b/logic/tally_test.go
@@ -0,0 +1,90 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// walked is the tally of members, added up one by one.
+func walked(b *Balancer, now Time, members []*backend) (t tally) {
+	for _, m := range members {
+		part, warmth := m.part*one(m.State == Up), m.warmth(now, &b.set)
+		t.parts += part
+		t.reach += part * warmth
+		if m.ejected == 0 && b.serving(m) {
+			t.count++
+			t.calls += float64(m.inFlight)
+			t.size += m.Size
+			t.warm += m.Size * warmth
+		}
+	}
+	return t
+}
+
+func (t tally) like(u tally) bool {
+	near := func(x, y float64) bool { return math.Abs(x-y) <= 1e-9*max(1, math.Abs(x)) }
+	return near(t.count, u.count) && near(t.calls, u.calls) && near(t.size, u.size) && near(t.warm, u.warm) &&
+		near(t.parts, u.parts) && near(t.reach, u.reach)
+}
+
+// Sums that are kept up to date are those that a walk over all members gives, whatever has
+// happened: lists, bans, ejections, calls that end in all ways, and time.
+func TestTallyIsKept(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		set := testSettings()
+		set.Balancers, set.WarmWithin, set.ColdShare, set.Uneven = 1+rng.IntN(60), 2*time.Second, 0.2, seed%2 == 1
+		f := newFake()
+		b := New(0, set, f)
+		line := func(now Time) Backend {
+			l := Backend{ID: fmt.Sprint("s", rng.IntN(30)), Size: 0.5 + rng.Float64()}
+			l.Zone, l.State = set.Zones[rng.IntN(3)], State(rng.IntN(3)*rng.IntN(2))
+			if rng.IntN(3) == 0 {
+				l.Started = max(1, now)
+			}
+			return l
+		}
+		now, answered := Time(0), 0
+		for step := range 1500 {
+			now += Time(rng.Int64N(int64(30 * ms)))
+			switch rng.IntN(12) {
+			case 0:
+				lines := make([]Backend, 1+rng.IntN(8))
+				for i := range lines {
+					lines[i] = line(now)
+				}
+				b.List(now, rng.IntN(5) == 0, lines)
+			case 1:
+				b.Detach(fmt.Sprint("s", rng.IntN(30)))
+			case 2:
+				b.Attach(now, fmt.Sprint("s", rng.IntN(30)))
+			case 3, 4, 5, 6:
+				b.Arrive(now, Request{ID: fmt.Sprint("r", step), Class: safe, Budget: 2000 * ms})
+			default:
+				if answered < len(f.sends) {
+					s := f.sends[answered]
+					answered++
+					if q := b.requests[s.request]; q != nil {
+						result := Result(rng.IntN(int(Late) + 1))
+						b.Done(now, Outcome{Request: s.request, Attempt: len(q.attempts) - 1, Result: result,
+							Latency: 20 * ms, Final: result == OK})
+					}
+				}
+			}
+			if got, want := b.tally(now, &b.all), walked(b, now, b.listed); !got.like(want) {
+				t.Fatalf("seed %d, step %d: all: kept %+v, walked %+v", seed, step, got, want)
+			}
+			for _, g := range b.groups {
+				if got, want := b.tally(now, &g.all), walked(b, now, g.members); !got.like(want) {
+					t.Fatalf("seed %d, step %d: group: kept %+v, walked %+v", seed, step, got, want)
+				}
+				if got, want := b.tally(now, &g.near), walked(b, now, g.near.members); !got.like(want) {
+					t.Fatalf("seed %d, step %d: near: kept %+v, walked %+v", seed, step, got, want)
+				}
+			}
+		}
+	}
+}
