--- a/logic/cost_test.go
+++ b/logic/cost_test.go
@@ -86,6 +86,6 @@
 	}
 	few, many := least(32), least(3200)
 	if many > most*few {
-		t.Errorf("2,000 calls take %v with 32 known backends, %v with 3,200: over %d times as long", few, many, most)
+		t.Errorf("2,000 calls take %v with 32 known backends, %v with 3,200: over %d times", few, many, most)
 	}
 }
--- a/logic/tally_test.go
+++ b/logic/tally_test.go
@@ -36,7 +36,8 @@
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		set := testSettings()
-		set.Balancers, set.WarmWithin, set.ColdShare, set.Uneven = 1+rng.IntN(60), 2*time.Second, 0.2, seed%2 == 1
+		set.Balancers, set.Uneven = 1+rng.IntN(60), seed%2 == 1
+		set.WarmWithin, set.ColdShare = 2*time.Second, 0.2
 		f := newFake()
 		b := New(0, set, f)
 		line := func(now Time) Backend {
