--- /dev/null
+++ b/proxy/trouble_test.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// panicking is a connection whose first write panics.
+type panicking struct {
+	*net.TCPConn
+	done atomic.Bool
+}
+
+func (c *panicking) Write(b []byte) (int, error) {
+	if !c.done.Swap(true) {
+		panic("planted")
+	}
+	return c.TCPConn.Write(b)
+}
+
+// panickingListener makes the first connection that it accepts a panicking one.
+type panickingListener struct {
+	listener
+	done atomic.Bool
+}
+
+func (l *panickingListener) Accept() (net.Conn, error) {
+	c, err := l.listener.Accept()
+	if err == nil && !l.done.Swap(true) {
+		return &panicking{TCPConn: c.(*net.TCPConn)}, nil
+	}
+	return c, err
+}
+
+// A panic on the way of one request is that request's alone: it is answered, counted, and
+// leaves nothing behind; all others are served on.
+func TestPanicInRequest(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	p := listening(t, standin.List(1, true, standin.Target("s-1", b.Addr())), "127.0.0.1:1")
+	p.cfg.Grace = time.Millisecond
+	p.listener = &panickingListener{listener: p.listener}
+	defer running(t, p)()
+	if code, _ := ask(t, dial(t, p), "get", 2000); code != http.StatusBadGateway {
+		t.Errorf("the request that met the panic: %d", code)
+	}
+	if code, _ := ask(t, dial(t, p), "get", 2000); code != http.StatusOK {
+		t.Errorf("the next request: %d", code)
+	}
+	eventually(t, "nothing left behind", func() bool {
+		p.driver.mu.Lock()
+		defer p.driver.mu.Unlock()
+		return len(p.driver.calls) == 0 && len(p.driver.open) == 0 && p.stats.open.Load() == 0
+	})
+}
+
+// A ban that could not be written is written once it can be, and a process that starts then
+// knows of it.
+func TestBanWrittenLater(t *testing.T) {
+	dir := t.TempDir()
+	s := opened(t, dir)
+	full := filepath.Join(s.bansPath, "in the way") // a rename onto it fails
+	if err := os.MkdirAll(full, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.change("s-1", true); err == nil {
+		t.Fatal("written onto a directory")
+	}
+	if out, in := s.follow(); len(out)+len(in) > 0 || !s.bans["s-1"] {
+		t.Errorf("the ban does not hold here: out %v, in %v", out, in)
+	}
+	if err := os.RemoveAll(s.bansPath); err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until) && !opened(t, dir).hasBan("s-1"); {
+		s.follow()
+		time.Sleep(20 * time.Millisecond)
+	}
+	if !opened(t, dir).hasBan("s-1") {
+		t.Error("a process that starts later does not know of the ban")
+	}
+}
+
+// hasBan tells whether a state that has just been opened knows of a ban.
+func (s *state) hasBan(id string) bool {
+	s.follow()
+	defer s.close()
+	return s.bans[id]
+}
+
+// The budget of descriptors is no larger than what the process may open, whatever the
+// configuration says: guards against accepts and dials that fail by EMFILE.
+func TestBudgetAsksTheKernel(t *testing.T) {
+	var was syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	const allowed = 120
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: allowed, Max: was.Max}); err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was)
+	p := listening(t, standin.List(1, true), "127.0.0.1:1") // its configuration says 256
+	defer p.listener.Close()
+	defer p.state.close()
+	if most := p.sockets.limit; most > allowed-ownSockets {
+		t.Errorf("%d connections at a time with %d descriptors allowed", most, allowed)
+	}
+}
