Guards of sending, starting, repeating and closing; panics, bans and limits of files

Cause: a panic in one request's goroutine ended the process; a ban that could not be written was not tried again, a kill left half a file behind and nothing was synced; the budget of descriptors did not ask RLIMIT_NOFILE.

A panic outside the module is answered for its request alone; one inside ends the process, since its state can't be relied on. Bans are written again every half second, synced, and leftovers cleared. The connection's patience has a floor of a fiftieth of the attempt's time: on a busy machine 2 ms took usual dials for late (TestLongBodyBrokenOff, seen once).

--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -291,7 +291,7 @@
 	}
 	after, err := strconv.ParseInt(req.URL.Query().Get("index"), 10, 64)
 	all := err != nil || after == 0 || after%3 == 0 // some begin with the whole list
-	life := time.Now()
+	life, flush := time.Now(), http.NewResponseController(w)
 	for first := true; ; first = false {
 		r.mu.Lock()
 		changed, rev := r.changed, r.rev
@@ -303,12 +303,16 @@
 			if _, err := w.Write(line); err != nil {
 				return
 			}
-			w.(http.Flusher).Flush()
+			if flush.Flush() != nil { // its connection has ended: nothing was told
+				return
+			}
 			r.tell(s.proxy, told)
 			after, life = rev, time.Now()
 		case time.Since(life) >= time.Second:
 			fmt.Fprintln(w)
-			w.(http.Flusher).Flush()
+			if flush.Flush() != nil {
+				return
+			}
 			life = time.Now()
 		}
 		select {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -22,6 +22,9 @@
 	// case: where the way is long, no share of a short time holds it.
 	connectFactor = 10
 	connectLeast  = 2
+	// connectFloor is the part of an attempt's time that its connection may take however
+	// quick others were: below it lies noise, as with the allowance.
+	connectFloor = 0.02
 	// connectStep is how fast the usual time follows, by its logarithm.
 	connectStep = 0.1
 	// mostLate is how many connections to a backend may be on their way with nobody
@@ -45,9 +48,10 @@
 	err  error
 }
 
-// open opens a connection, for which the caller has taken a slot. It waits until patience
-// is over, the deadline at most, or ctx: with that one the connection is given up.
-func (b *Backend) open(ctx context.Context, deadline time.Time, patience time.Duration) (*http1.Conn, error) {
+// open opens a connection, for which the caller has taken a slot, for an attempt that has
+// timeout. It waits for as long as connectPatience says, the deadline at most, or until ctx
+// is over: with that one the connection is given up.
+func (b *Backend) open(ctx context.Context, deadline time.Time, timeout time.Duration) (*http1.Conn, error) {
 	if b.crowded() {
 		b.opt.Slots.Give()
 		return nil, errLate
@@ -55,7 +59,7 @@
 	dialing, cancel := context.WithTimeout(b.life, b.opt.DialTimeout)
 	d := &dial{backend: b, ended: make(chan struct{})}
 	go d.run(dialing, cancel)
-	wait := min(time.Until(deadline), b.opt.connectPatience(patience))
+	wait := min(time.Until(deadline), b.opt.connectPatience(timeout))
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -135,15 +139,16 @@
 	return nil, errLate
 }
 
-// connectPatience is how long an attempt waits for its connection, share at most unless
-// most take longer.
-func (o *Options) connectPatience(share time.Duration) time.Duration {
+// connectPatience is how long an attempt that has timeout waits for its connection.
+func (o *Options) connectPatience(timeout time.Duration) time.Duration {
+	most := time.Duration(connectShare * float64(timeout))
 	o.connectMu.Lock()
 	defer o.connectMu.Unlock()
 	if o.connectMedian == 0 {
-		return share
+		return most
 	}
-	return max(connectLeast*o.connectMedian, min(connectFactor*o.connectMedian, share))
+	least := max(connectLeast*o.connectMedian, time.Duration(connectFloor*float64(timeout)))
+	return max(least, min(connectFactor*o.connectMedian, most))
 }
 
 // connectTook follows the median of the times that connections take.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -232,7 +232,7 @@
 // exchange ends without one.
 func (b *Backend) prepare(ctx context.Context, req *Request, deadline time.Time) (*http1.Conn, []byte, *Answer) {
 	for {
-		c, err := b.connect(ctx, deadline, time.Duration(connectShare*float64(req.Timeout)))
+		c, err := b.connect(ctx, deadline, req.Timeout)
 		switch {
 		case errors.Is(err, errLate):
 			return nil, nil, &Answer{Stage: Late, Err: err}
@@ -301,7 +301,7 @@
 const restLeast = 2 * time.Millisecond
 
 // connect takes the newest idle connection that is still open, or opens one.
-func (b *Backend) connect(ctx context.Context, deadline time.Time, patience time.Duration) (*http1.Conn, error) {
+func (b *Backend) connect(ctx context.Context, deadline time.Time, timeout time.Duration) (*http1.Conn, error) {
 	if c := b.reuse(restLeast); c != nil {
 		return c, nil
 	}
@@ -315,7 +315,7 @@
 	if spare != nil {
 		b.keep(spare)
 	}
-	c, err := b.open(ctx, deadline, patience)
+	c, err := b.open(ctx, deadline, timeout)
 	if errors.Is(err, errLate) { // one that was in use or at rest meanwhile will do
 		if c := b.reuse(0); c != nil {
 			return c, nil
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -44,8 +44,11 @@
 	begun  bool          // a part of a request is here
 	nudged bool
 
-	reset   bool // its close is a reset on purpose, or can be nothing else
-	hurried bool // it lingers for lingerLeast
+	reset bool // its close is a reset on purpose, or can be nothing else
+	// answering tells that an answer to the request under way has begun to be written.
+	answering bool
+	departed  bool // it has ended its side inside a message
+	hurried   bool // it lingers for lingerLeast
 
 	bodyFrom time.Time // when its body began to come; zero: not yet
 }
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,12 +25,16 @@
 
 	mu       sync.Mutex
 	balancer *logic.Balancer
+	classes  []logic.Class
 	calls    map[string]*call
 	open     map[string]bool // callers' ids of requests in the module's hands
 	backends map[string]place
 	serial   uint64
 	later    []func()
 	current  *call // whose outcome the module is handling
+
+	violations *violations
+	byHandOut  map[string]bool // detached by operators
 }
 
 // place is where a backend is, since when.
@@ -36,12 +42,16 @@
 	*upstream.Backend
 	boot    int64      // the stamp of its start, as discovery gives it
 	started logic.Time // what that is taken for, from when it was first told
+	state   logic.State
+	leaving logic.Time // since when it is not in service
 }
 
 // call is one request in the module's hands.
 type call struct {
 	id     string
-	name   string // its caller's id
+	name   string       // its caller's id
+	repeat logic.Repeat // what a second run of it would do
+	ran    bool         // an attempt may have run
 	sends  int
 	cancel func()      // gives up the attempt sent last
 	begun  bool        // that attempt is being written, or has been
@@ -71,6 +81,7 @@
 	timeout  time.Duration
 	ctx      context.Context // over once the attempt is given up
 	cancel   func()
+	withheld bool // it must not be sent
 	comeBack time.Duration
 	why      logic.Cause // of a refusal or failure
 }
@@ -78,21 +89,38 @@
 func newDriver(cfg *Config, opt *upstream.Options, st *stats) *driver {
 	d := &driver{
 		clock:    newClock(),
+		classes:  cfg.logic.Classes,
 		opt:      opt,
 		stats:    st,
 		calls:    map[string]*call{},
 		open:     map[string]bool{},
 		backends: map[string]place{},
+
+		violations: newViolations(),
+		byHandOut:  map[string]bool{},
 	}
 	opt.Unreached = d.unreached
 	d.do(func(now logic.Time) { d.balancer = logic.New(now, cfg.logic, d) })
 	return d
 }
 
+// moduleFault is a panic inside the decision module, or of what it asked for.
+type moduleFault struct{ cause any }
+
 // do makes one call to the module, then what must wait until the lock is free.
 func (d *driver) do(f func(now logic.Time)) {
 	d.mu.Lock()
+	inside := true
+	defer func() {
+		if !inside {
+			return
+		}
+		if cause := recover(); cause != nil {
+			panic(moduleFault{fmt.Sprintf("%v\n%s", cause, debug.Stack())})
+		}
+	}()
 	f(d.clock.now())
+	inside = false
 	later := d.later
 	d.later = nil
 	d.mu.Unlock()
@@ -112,6 +140,7 @@
 		// The module gets ids of our own: a caller's may come again.
 		d.serial++
 		r = &call{id: strconv.FormatUint(d.serial, 36), name: name, steps: make(chan step, 2)}
+		r.repeat = d.classes[class].Repeat
 		d.calls[r.id] = r
 		d.balancer.Arrive(now, logic.Request{ID: r.id, Class: class, Budget: budget, Retry: retry, Long: long})
 	})
@@ -124,6 +153,7 @@
 	d.do(func(now logic.Time) {
 		// A backend that has moved is another machine, whatever the module knows of it.
 		yes = d.backends[s.uid].Backend == s.to && d.balancer.Connected(now, r.id)
+		yes = yes && d.mayStart(r) && d.maySend(r, s) && !s.withheld
 		r.begun = yes
 	})
 	return yes
@@ -140,6 +170,7 @@
 	d.do(func(now logic.Time) {
 		d.current = r
 		defer func() { d.current = nil }()
+		r.ran = r.ran || mayHaveRun(result)
 		d.balancer.Done(now, logic.Outcome{
 			Request: r.id,
 			Attempt: s.attempt,
@@ -166,6 +197,22 @@
 	})
 }
 
+// mayHaveRun tells whether an attempt that ended so may have run.
+func mayHaveRun(result logic.Result) bool {
+	switch result {
+	case logic.Full, logic.NoConnect, logic.NeverSent, logic.Late:
+		return false
+	}
+	return true
+}
+
+// hasLeft tells whether a request's client has left.
+func (d *driver) hasLeft(r *call) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r.left
+}
+
 // gone reports that a request's client has left.
 func (d *driver) gone(r *call) { d.over(r, stepGone) }
 
@@ -220,13 +267,15 @@
 	}
 }
 
+// states are the module's words for the states of a target.
+var states = map[string]logic.State{
+	discovery.InService:   logic.Up,
+	discovery.Terminating: logic.Draining,
+	discovery.Terminated:  logic.Removed,
+}
+
 // list hands on news of the backends.
 func (d *driver) list(l *discovery.List) {
-	states := map[string]logic.State{
-		discovery.InService:   logic.Up,
-		discovery.Terminating: logic.Draining,
-		discovery.Terminated:  logic.Removed,
-	}
 	lines := make([]logic.Backend, 0, len(l.Targets))
 	named := map[string]bool{}
 	d.do(func(now logic.Time) {
@@ -256,7 +305,13 @@
 func (d *driver) place(now logic.Time, t discovery.Target, before time.Time) {
 	b, ok := d.backends[t.UID]
 	same := ok && b.boot == t.Boot
+	state, leaving := states[t.State], b.leaving
+	if state != b.state {
+		leaving = now
+	}
 	if same && b.Addr == t.Endpoint {
+		b.state, b.leaving = state, leaving
+		d.backends[t.UID] = b
 		return
 	}
 	started := b.started
@@ -264,7 +319,7 @@
 		started = d.clock.booted(now, t.Boot, before)
 	}
 	d.drop(t.UID)
-	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot, started}
+	d.backends[t.UID] = place{upstream.New(t.Endpoint, d.opt), t.Boot, started, state, leaving}
 }
 
 // drop lets go of a backend, if it is known, and of the connections to it.
@@ -318,8 +373,10 @@
 func (d *driver) byHand(id string, out bool) {
 	d.do(func(now logic.Time) {
 		if out {
+			d.byHandOut[id] = true
 			d.balancer.Detach(id)
 		} else {
+			delete(d.byHandOut, id)
 			d.balancer.Attach(now, id)
 		}
 	})
@@ -330,6 +387,7 @@
 	r := d.calls[request]
 	s := step{kind: stepSend, attempt: r.sends, uid: backend, to: d.backends[backend].Backend, sent: time.Now()}
 	s.timeout = timeout
+	s.withheld = r.sends > 0 && !d.mayRepeat(r)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	r.cancel, r.begun = s.cancel, false
 	r.steps <- s
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"log"
 	"net"
+	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -454,11 +456,37 @@
 	defer p.clients.remove()
 	defer p.sockets.leave()
 	defer c.conn.Close()
-	for p.exchange(c) {
+	for p.exchangeOnce(c) {
 	}
 	p.clients.linger(c)
 }
 
+// exchangeOnce does as exchange, and keeps a panic on the way of one request from ending
+// the process with all others. The request is answered as failed where no answer has begun;
+// its connection is closed in any case. A panic inside the decision module is not caught:
+// what it knows can't be relied on from then on, least of all for what must not run twice.
+func (p *Proxy) exchangeOnce(c *client) (open bool) {
+	c.answering = false
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if fault, ok := cause.(moduleFault); ok {
+			panic(fault)
+		}
+		p.stats.recovered.Add(1)
+		log.Printf("event=panic client=%s err=%q stack=%q", c.conn.RemoteAddr(), fmt.Sprint(cause), debug.Stack())
+		open = false
+		if c.answering {
+			c.reset = true
+			return
+		}
+		p.write(c, http.StatusBadGateway, nil, []byte("failed\n"), true)
+	}()
+	return p.exchange(c)
+}
+
 // relieve frees descriptors: of backends' connections the one that has been
 // idle for longest, of callers' as many as there are too many.
 func (p *Proxy) relieve(excess int) {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -68,6 +68,14 @@
 	p.stats.open.Add(1)
 	defer p.stats.open.Add(-1)
 	defer p.driver.forget(call)
+	defer func() { p.closed(c, call, in.id) }()
+	var out *step // the attempt that is out
+	defer func() {
+		if out != nil { // a panic went by
+			p.driver.done(call, *out, logic.Cancelled, true, false)
+			out.cancel()
+		}
+	}()
 	defer c.conn.Unwatch()
 	ends := &p.stats.ends[in.class]
 	watch := func() {
@@ -87,30 +95,32 @@
 		}
 		switch step.kind {
 		case stepSend:
-			out := &upstream.Request{Timeout: step.timeout, Rest: rest, Transfers: p.transfers}
-			out.Connected = func() bool {
+			sending := &upstream.Request{Timeout: step.timeout, Rest: rest, Transfers: p.transfers}
+			sending.Connected = func() bool {
 				if c.conn.PeerClosed() { // also behind a body that nobody has read to its end
 					p.driver.gone(call)
 				}
 				return p.driver.connected(call, step)
 			}
-			out.Text = func(left time.Duration) []byte { return forward(req, step.to.Addr, body, rest, left) }
+			sending.Text = func(left time.Duration) []byte { return forward(req, step.to.Addr, body, rest, left) }
 			if rest == nil {
 				watch()
 			} else {
-				out.Written = func() {
+				sending.Written = func() {
 					step.sent = time.Now()
 					p.driver.written(call)
 					c.conn.SetReadDeadline(time.Time{}) // of the rest
 					watch()
 				}
 			}
-			got := step.to.Exchange(step.ctx, out)
+			out = &step
+			got := step.to.Exchange(step.ctx, sending)
 			result, final := outcome(&got)
 			if got.Err != nil && errors.Is(step.ctx.Err(), context.Canceled) {
 				result = logic.Cancelled
 			}
 			step.cancel()
+			out = nil
 			p.driver.done(call, step, result, final, rest != nil && rest.Begun())
 			p.stats.attempt(result)
 			attempts = append(attempts, attemptTrace{step.uid, result, time.Since(step.sent)})
@@ -425,7 +435,9 @@
 	}
 	within := upstream.Progress(c.conn.SetWriteDeadline)
 	within(0)
-	if _, err := c.conn.Write(answerText(got.Status, header, first, last)); err != nil {
+	_, err = c.conn.Write(answerText(got.Status, header, first, last))
+	c.answering = true
+	if err != nil {
 		return fmt.Errorf("%w: %w", http1.ErrPassed, err)
 	}
 	return p.transfers.Pass(c.conn, got.Rest, old, func(passed int64) error {
@@ -456,7 +468,9 @@
 	last = last || !p.stays()
 	header = append(header, "Content-Length", strconv.Itoa(len(body)))
 	c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
-	if _, err := c.conn.Write(answerText(status, header, body, last)); err != nil {
+	_, err := c.conn.Write(answerText(status, header, body, last))
+	c.answering = true
+	if err != nil {
 		p.stats.unwritten.Add(1)
 		c.reset = true // nobody takes what it would linger for
 		return false
@@ -503,6 +517,7 @@
 // turnAway answers what is no request of ours, so that its connection can be closed.
 func (p *Proxy) turnAway(c *client, code int, err error) {
 	if code == 0 {
+		c.departed = true
 		return
 	}
 	p.stats.turnedAway(code, c.conn.RemoteAddr(), err)
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"log"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -31,16 +33,27 @@
 )
 
 func newSockets(limit int) *sockets {
-	s := &sockets{limit: limit - ownSockets}
+	s := &sockets{limit: allowedSockets(limit) - ownSockets}
 	s.freed = sync.NewCond(&s.mu)
 	return s
 }
 
+// allowedSockets is how many descriptors a process that may have so many by its
+// configuration can open at all: guards against accepts and dials that fail by EMFILE.
+func allowedSockets(configured int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur >= uint64(configured) {
+		return configured
+	}
+	log.Printf("event=descriptors_fewer configured=%d allowed=%d", configured, limit.Cur)
+	return int(limit.Cur)
+}
+
 // resize makes the budget that of a new limit. What is in use over it is given back
 // as its connections end.
 func (s *sockets) resize(limit int) {
 	s.mu.Lock()
-	s.limit = limit - ownSockets
+	s.limit = allowedSockets(limit) - ownSockets
 	s.mu.Unlock()
 	s.freed.Broadcast()
 }
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -31,7 +31,9 @@
 	mu   sync.Mutex
 	bans map[string]bool // as this process has them
 	seen os.FileInfo     // the bans file when it was last read
-	kept map[string]bool // changes that could not be written: they hold here, whatever is read
+	kept map[string]bool // changes that are not written yet: they hold here, whatever is read
+
+	written time.Time // last try
 }
 
 const (
@@ -49,6 +51,12 @@
 	lockTries = 20
 	lockPause = 10 * time.Millisecond
 
+	// newSuffix ends the name of a file of bans that is being written.
+	newSuffix = ".new"
+	// writeAgainEvery is how often what could not be written is tried again: a full disk
+	// is full for a while.
+	writeAgainEvery = 500 * time.Millisecond
+
 	maxBans     = 1024
 	maxBansFile = maxBans * (maxID*6 + 4) // every byte of an id escaped
 )
@@ -70,6 +78,7 @@
 		return s, fmt.Errorf("state: %w", err)
 	}
 	s.locks, s.bansPath = f, base+".bans"
+	s.clearHalfWritten()
 	for slot := range int64(mostProcesses) {
 		if s.lock(ofdSet, syscall.F_WRLCK, slot) == nil {
 			s.slot = slot
@@ -79,6 +88,26 @@
 	return s, fmt.Errorf("state: %d processes hold %s", mostProcesses, f.Name())
 }
 
+// clearHalfWritten removes what a process that was killed in the middle of a write has left
+// behind. Who holds the change lock is writing now: then it is left to the next start.
+func (s *state) clearHalfWritten() {
+	if s.lock(ofdSet, syscall.F_WRLCK, changeLock) != nil {
+		return
+	}
+	defer s.lock(ofdSet, syscall.F_UNLCK, changeLock)
+	left, _ := filepath.Glob(globQuoted(s.bansPath) + newSuffix + "*")
+	for _, name := range left {
+		if err := os.Remove(name); err != nil {
+			log.Printf("event=bans_not_cleared err=%q", err)
+		}
+	}
+}
+
+// globQuoted is a path as a pattern that it alone matches.
+func globQuoted(path string) string {
+	return strings.NewReplacer(`\`, `\\`, "*", `\*`, "?", `\?`, "[", `\[`).Replace(path)
+}
+
 // lock applies a lock command to one byte of the lock file.
 func (s *state) lock(cmd int, kind int16, at int64) error {
 	return syscall.FcntlFlock(s.locks.Fd(), cmd, &syscall.Flock_t{Type: kind, Start: at, Len: 1})
@@ -105,36 +134,49 @@
 func (s *state) change(id string, ban bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var err error
-	if s.locks != nil {
-		err := s.lock(ofdSet, syscall.F_WRLCK, changeLock)
-		for range lockTries {
-			if err == nil {
-				break
-			}
-			time.Sleep(lockPause)
-			err = s.lock(ofdSet, syscall.F_WRLCK, changeLock)
-		}
-		if err != nil {
-			log.Printf("event=bans_unlocked err=%q", err)
-		}
-		defer s.lock(ofdSet, syscall.F_UNLCK, changeLock)
-		s.read() // what the other process has changed must stay
+	if s.locks == nil {
+		s.bans = maps.Clone(s.bans) // readers of the old ones compare
+		setBan(s.bans, id, ban)
+		return nil
 	}
-	s.bans = maps.Clone(s.bans) // readers of the old ones compare
+	s.kept[id] = ban
+	return s.writeKept()
+}
+
+func setBan(bans map[string]bool, id string, ban bool) {
 	if ban {
-		s.bans[id] = true
+		bans[id] = true
 	} else {
-		delete(s.bans, id)
+		delete(bans, id)
 	}
-	if s.locks != nil {
-		if err = s.write(); err == nil {
-			clear(s.kept)
-		} else {
-			s.kept[id] = ban
+}
+
+// writeKept makes the changes that are not written yet, here and in the file. The caller
+// holds mu.
+func (s *state) writeKept() error {
+	err := s.lock(ofdSet, syscall.F_WRLCK, changeLock)
+	for range lockTries {
+		if err == nil {
+			break
 		}
+		time.Sleep(lockPause)
+		err = s.lock(ofdSet, syscall.F_WRLCK, changeLock)
 	}
-	return err
+	if err != nil {
+		log.Printf("event=bans_unlocked err=%q", err)
+	}
+	defer s.lock(ofdSet, syscall.F_UNLCK, changeLock)
+	s.read() // what the other process has changed must stay
+	s.bans = maps.Clone(s.bans)
+	for id, ban := range s.kept {
+		setBan(s.bans, id, ban)
+	}
+	s.written = time.Now()
+	if err := s.write(); err != nil {
+		return err
+	}
+	clear(s.kept)
+	return nil
 }
 
 // follow reads the bans again if the file is another. It returns what is banned anew,
@@ -147,6 +189,11 @@
 	}
 	before := s.bans
 	s.read()
+	if len(s.kept) > 0 && time.Since(s.written) >= writeAgainEvery {
+		if err := s.writeKept(); err == nil {
+			log.Printf("event=bans_written_late")
+		}
+	}
 	for id := range s.bans {
 		if !before[id] {
 			out = append(out, id)
@@ -181,11 +228,7 @@
 		return
 	}
 	for id, ban := range s.kept {
-		if ban {
-			bans[id] = true
-		} else {
-			delete(bans, id)
-		}
+		setBan(bans, id, ban)
 	}
 	s.bans = bans
 }
@@ -224,13 +267,16 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(s.bansPath), filepath.Base(s.bansPath)+".new*")
+	f, err := os.CreateTemp(filepath.Dir(s.bansPath), filepath.Base(s.bansPath)+newSuffix+"*")
 	if err != nil {
 		return err
 	}
 	if err = faults.Fail("write"); err == nil {
 		_, err = f.Write(text)
 	}
+	if err == nil {
+		err = f.Sync() // on disk before it takes the old one's place
+	}
 	if err == nil {
 		s.seen, err = f.Stat()
 	}
--- a/proxy/stats.go
+++ b/proxy/stats.go
@@ -16,6 +16,7 @@
 // stats count what a proxy does, for its log.
 type stats struct {
 	gone, bad, unwritten, cutShort atomic.Int64
+	recovered                      atomic.Int64 // panics on the way of a request
 
 	open atomic.Int64            // requests taken and not ended
 	ends [][endings]atomic.Int64 // of requests, by class
@@ -91,10 +92,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.results
-	log.Printf("event=stats served=%d refused=%d failed=%d gone=%d bad=%d unwritten=%d cut_short=%d p50_us=%d p99_us=%d "+
+	log.Printf("event=stats served=%d refused=%d failed=%d gone=%d bad=%d unwritten=%d cut_short=%d recovered=%d p50_us=%d p99_us=%d "+
 		"error=%d cancelled=%d full=%d timed_out=%d no_connect=%d broken=%d never_sent=%d late=%d opened=%d sockets=%d sockets_most=%d "+
 		"timer_p99_us=%d timer_max_us=%d list_age=%.1f",
-		r[logic.OK], s.ended(throttled), s.ended(faulted), s.gone.Load(), s.bad.Load(), s.unwritten.Load(), s.cutShort.Load(),
+		r[logic.OK], s.ended(throttled), s.ended(faulted), s.gone.Load(), s.bad.Load(), s.unwritten.Load(), s.cutShort.Load(), s.recovered.Load(),
 		s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99),
 		r[logic.Error], r[logic.Cancelled], r[logic.Full], r[logic.TimedOut], r[logic.NoConnect], r[logic.Broken], r[logic.NeverSent], r[logic.Late],
 		p.driver.opt.Opened.Load(), used, most, s.lateness.ValueAtQuantile(99), s.lateness.Max(), age.Seconds())
--- a/proxy/trouble_test.go
+++ b/proxy/trouble_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -95,6 +96,36 @@
 	return s.bans[id]
 }
 
+// What a process that was killed in the middle of a write left behind is cleared away by
+// the next, and the bans of the last whole write hold.
+func TestHalfWrittenBans(t *testing.T) {
+	dir := t.TempDir()
+	s := opened(t, dir)
+	if err := s.change("s-1", true); err != nil {
+		t.Fatal(err)
+	}
+	half := s.bansPath + ".new123"
+	if err := os.WriteFile(half, []byte(`["s-1","s-`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	next := opened(t, dir)
+	defer next.close()
+	next.follow()
+	if !next.bans["s-1"] {
+		t.Error("the ban is lost")
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if strings.Contains(e.Name(), ".new") {
+			t.Errorf("%s is still there", e.Name())
+		}
+	}
+}
+
 // The budget of descriptors is no larger than what the process may open, whatever the
 // configuration says: guards against accepts and dials that fail by EMFILE.
 func TestBudgetAsksTheKernel(t *testing.T) {
