--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -132,3 +132,22 @@
 		t.Errorf("the usual time is %v, want some 1 ms", o.connectMedian)
 	}
 }
+
+// The time that a backend is told counts from the decision to make the attempt: a process
+// that is held up between the two tells less.
+func TestTimeFromDecision(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	opt, _ := options(10)
+	up := New(b.Addr(), opt)
+	defer up.Close()
+	var told time.Duration
+	text := func(left time.Duration) []byte {
+		told = left
+		return get(left)
+	}
+	held := 600 * time.Millisecond
+	a := up.Exchange(context.Background(), &Request{Text: text, Timeout: time.Second, Decided: time.Now().Add(-held)})
+	if a.Err != nil || told > time.Second-held {
+		t.Errorf("told %v of 1 s, %v after the decision: %v", told, held, a.Err)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,7 +87,8 @@
 	Transfers *http1.Transfers                // for it
 	Connected func() bool                     // asked before the first byte whether it is still to be sent; nil: it is
 	Written   func()                          // called once all of it is written; may be nil
-	Timeout   time.Duration                   // from then on, or from the start where there is no rest
+	Timeout   time.Duration                   // from then on, or from Decided where there is no rest
+	Decided   time.Time                       // when the attempt was decided on; zero: now
 }
 
 // Answer is what came back.
