An attempt's time counts from the decision to make it

Cause: Exchange set its deadline when it began, so that a process held up between the module's decision and the exchange told its backend more than was decided. What has come behind a long request is seen at once, not only by a watch that may start late (TestLongBodyBrokenOff, seen once beside other work: its 200 came before the watch read the noise behind the body).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -138,7 +138,11 @@
 // never sent again by it. On return the connection is idle or closed, unless the answer
 // has a rest.
 func (b *Backend) Exchange(ctx context.Context, req *Request) Answer {
-	deadline := time.Now().Add(req.Timeout)
+	decided := req.Decided
+	if decided.IsZero() {
+		decided = time.Now()
+	}
+	deadline := decided.Add(req.Timeout)
 	c, text, failed := b.prepare(ctx, req, deadline)
 	if failed != nil {
 		return *failed
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -95,7 +95,7 @@
 		}
 		switch step.kind {
 		case stepSend:
-			sending := &upstream.Request{Timeout: step.timeout, Rest: rest, Transfers: p.transfers}
+			sending := &upstream.Request{Timeout: step.timeout, Decided: step.sent, Rest: rest, Transfers: p.transfers}
 			sending.Connected = func() bool {
 				if c.conn.PeerClosed() { // also behind a body that nobody has read to its end
 					p.driver.gone(call)
@@ -109,6 +109,10 @@
 				sending.Written = func() {
 					step.sent = time.Now()
 					p.driver.written(call)
+					if c.conn.More() { // it is here already: no need to wait for a watch to see it
+						p.driver.ahead(call)
+						return
+					}
 					c.conn.SetReadDeadline(time.Time{}) // of the rest
 					watch()
 				}
