--- /dev/null
+++ b/cmd/oxbowloft/size_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// needs is what a process has used by its end.
+type needs struct {
+	cpu      time.Duration
+	memoryMB float64
+	sockets  int // open at the end of the calls
+	opened   int // connections to backends
+}
+
+// needsFor runs the program with so many known backends, one balancer among so many, and
+// makes calls; it returns what the process needed.
+func needsFor(t *testing.T, known, balancers, calls int) needs {
+	t.Helper()
+	const listeners = 8 // known backends share their addresses
+	var behind []*standin.Backend
+	for range listeners {
+		behind = append(behind, standin.NewBackend(t, func(c *standin.Call) {
+			time.Sleep(5 * time.Millisecond) // so that no backend looks slow by chance
+			standin.Echo(c)
+		}))
+	}
+	targets := make([]string, known)
+	for i := range targets {
+		targets[i] = standin.Target(fmt.Sprintf("s-%04d", i), behind[i%listeners].Addr())
+	}
+	many := func(listen, discovery string, sockets int, known string) string {
+		text := standin.Config(listen, discovery, sockets, known)
+		return strings.Replace(text, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, balancers), 1)
+	}
+	d := standin.NewDiscovery(t, standin.List(1, false))
+	r := startWithConfig(t, many, d.Addr(), 512, standin.List(1, true, targets...))
+	c := r.dial()
+	for i := range calls {
+		if got := c.roundTrip(getRequest(2000)); got.status != 200 {
+			t.Fatalf("call %d: %+v", i, got)
+		}
+	}
+	var n needs
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.sockets, n.memoryMB = len(entries), peakMemoryMB(t, r.cmd.Process.Pid)
+	for _, b := range behind {
+		opened, _ := b.Conns()
+		n.opened += opened
+	}
+	r.signal(syscall.SIGTERM)
+	if err := r.wait(); err != nil {
+		t.Fatal(err)
+	}
+	n.cpu = r.cmd.ProcessState.UserTime() + r.cmd.ProcessState.SystemTime()
+	return n
+}
+
+// peakMemoryMB is the most memory that a process has had resident since it began to run its
+// program: what the kernel tells a parent counts the parent's own from before that.
+func peakMemoryMB(t *testing.T, pid int) float64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		var kB float64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %f kB", &kB); n == 1 {
+			return kB / 1024
+		}
+	}
+	t.Fatal("no VmHWM")
+	return 0
+}
+
+// What a proxy needs at the operators' largest fleet, against the usual one: their table,
+// row by row, as far as one process shows it.
+func TestNeedsBySize(t *testing.T) {
+	const calls = 1000
+	usual, large := needsFor(t, 200, 300, calls), needsFor(t, 3200, 900, calls)
+	t.Logf("200 backends: %+v; 3,200: %+v", usual, large)
+	const thousands = 3.2
+	if most := 1.4*usual.cpu.Seconds() + 0.02 + 0.03*thousands; large.cpu.Seconds() > most {
+		t.Errorf("processor time %v, %.3f s at most", large.cpu, most)
+	}
+	if most := 1.5*usual.memoryMB + 8 + 4*thousands; large.memoryMB > most {
+		t.Errorf("memory %.1f MB, %.1f at most", large.memoryMB, most)
+	}
+	if most := 2*usual.sockets + 40; large.sockets > most {
+		t.Errorf("%d descriptors, %d at most", large.sockets, most)
+	}
+	if most := int(2.5*float64(usual.opened)) + 40; large.opened > most {
+		t.Errorf("%d connections to backends, %d at most", large.opened, most)
+	}
+}
