Log backends whose standing changes: ejected, and in use again

Need: state transitions of backends could only be reckoned from counts. The module tells an observer, if there is one, when it ejects a backend and when a trial brings it back; the proxy logs it, ten lines a second at most. No decision changes: TestStandingIsObserved, tests of logic and of the proxy's guards, dials and starts pass.

--- a/logic/api.go
+++ b/logic/api.go
@@ -158,6 +158,26 @@
 // String is the result's word in the log.
 func (r Result) String() string { return results[r] }
 
+// Standing is whether a backend is in use.
+type Standing int
+
+// The standings.
+const (
+	InUse   Standing = iota
+	Ejected          // left out for its failures, until a trial succeeds
+)
+
+var standings = [...]string{"in_use", "ejected"}
+
+// String is the standing's word in the log.
+func (s Standing) String() string { return standings[s] }
+
+// Observer is told of changes that call for nothing to be done. Actions may implement it.
+type Observer interface {
+	// Stands tells that a backend's standing has changed, and its share of recent failures.
+	Stands(backend string, s Standing, failures float64)
+}
+
 // Actions carries out what the module decides, in the order of the calls.
 type Actions interface {
 	// Send starts an attempt that times out after timeout.
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -16,6 +16,7 @@
 type Balancer struct {
 	set      Settings
 	act      Actions
+	observer Observer // nil: nobody observes
 	rng      *rand.Rand
 	classes  []class
 	backends map[string]*backend
@@ -120,6 +121,7 @@
 		wakes:    map[uint64]*request{},
 		lastCall: now, arrived: now,
 	}
+	b.observer, _ = act.(Observer)
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, class{Class: c})
 		b.patience = max(b.patience, time.Duration(ejectPatience*float64(c.Deadline)))
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -47,6 +47,7 @@
 	b.failing += failingWeight * one(r != NoConnect) * (one(failed) - b.failing) // no chance makes that
 	switch {
 	case a.trial && !failed:
+		b.observe(m, InUse)
 		m.ejected, m.failures = 0, 0
 		b.version++
 	case a.trial && m.ejected > 0, !a.trial && failed && m.ejected == 0 && b.outlier(now, m):
@@ -64,7 +65,15 @@
 	}
 }
 
+// observe tells of a backend's standing, if it is another than it was.
+func (b *Balancer) observe(m *backend, s Standing) {
+	if b.observer != nil && (m.ejected > 0) != (s == Ejected) {
+		b.observer.Stands(m.ID, s, m.failures)
+	}
+}
+
 func (b *Balancer) eject(now Time, m *backend) {
+	b.observe(m, Ejected)
 	m.trialAt, m.ejected = now+b.jitter(b.patience<<min(m.ejected, ejectGrowth)), m.ejected+1
 	b.version++
 }
--- a/logic/outlier_test.go
+++ b/logic/outlier_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -171,3 +172,27 @@
 		}
 	}
 }
+
+// observed is Actions that observes.
+type observed struct {
+	*fake
+	seen []string
+}
+
+func (o *observed) Stands(backend string, s Standing, _ float64) {
+	o.seen = append(o.seen, backend+" "+s.String())
+}
+
+// Each change of a backend's standing is told once: not again while it stays ejected.
+func TestStandingIsObserved(t *testing.T) {
+	o := &observed{fake: newFake()}
+	b := New(0, testSettings(), o)
+	b.List(0, true, zoneLines("b", 4))
+	m := b.backends["b0"]
+	b.eject(0, m)
+	b.eject(0, m) // a trial has failed
+	b.judge(0, &attempt{to: m, trial: true}, &b.classes[safe], OK)
+	if want := []string{"b0 ejected", "b0 in_use"}; !slices.Equal(o.seen, want) {
+		t.Errorf("told %v, want %v", o.seen, want)
+	}
+}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/logging"
 	"oxbowloft/internal/neterror"
 	"oxbowloft/internal/upstream"
 	"oxbowloft/logic"
@@ -33,10 +35,14 @@
 	later    []func()
 	current  *call // whose outcome the module is handling
 
-	violations *violations
-	byHandOut  map[string]bool // detached by operators
+	violations  *violations
+	standingLog logging.Limit   // of backends whose standing changes
+	byHandOut   map[string]bool // detached by operators
 }
 
+// standingEvery bounds the lines about backends that are ejected and return.
+const standingEvery = 100 * time.Millisecond
+
 // place is where a backend is, since when.
 type place struct {
 	*upstream.Backend
@@ -96,8 +102,9 @@
 		open:     map[string]bool{},
 		backends: map[string]place{},
 
-		violations: newViolations(),
-		byHandOut:  map[string]bool{},
+		violations:  newViolations(),
+		standingLog: logging.Limit{Every: standingEvery, Burst: 20},
+		byHandOut:   map[string]bool{},
 	}
 	opt.Unreached = d.unreached
 	d.do(func(now logic.Time) { d.balancer = logic.New(now, cfg.logic, d) })
@@ -423,6 +430,13 @@
 	}
 }
 
+// Stands implements logic.Observer.
+func (d *driver) Stands(backend string, s logic.Standing, failures float64) {
+	if leftOut, ok := d.standingLog.Allow(); ok {
+		log.Printf("event=backend uid=%s standing=%s failures=%.2f left_out=%d", backend, s, failures, leftOut)
+	}
+}
+
 // CloseIdle implements logic.Actions.
 func (d *driver) CloseIdle(backend string) {
 	// Out of use at once, since the module may send to it next; closed later.
