--- a/internal/faults/off.go
+++ b/internal/faults/off.go
@@ -7,9 +7,6 @@
 
 import "time"
 
-// Enabled tells whether this build can be told to fail.
-const Enabled = false
-
 // WallOffset is how far the wall clock has been stepped, for a process that starts now.
 func WallOffset() time.Duration { return 0 }
 
--- a/internal/faults/on.go
+++ b/internal/faults/on.go
@@ -14,9 +14,6 @@
 	"time"
 )
 
-// Enabled tells whether this build can be told to fail.
-const Enabled = true
-
 // The variables that say what fails.
 const (
 	wallVariable  = "OXBOWLOFT_FAULT_WALL"  // a duration: how far the wall clock has been stepped
