--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -120,9 +120,11 @@
 
 // End is how a call or a watch came to its end.
 type End struct {
-	Why Failure
-	Rev int64 // of the newest list by then
-	Err error
+	Why    Failure
+	Rev    int64 // of the newest list by then
+	Err    error
+	Waited time.Duration // since the call began
+	Fresh  Fresh         // for how long the list may be used from then on
 }
 
 // Pacer says how long to wait before a call. It is called by Run alone.
@@ -239,6 +241,13 @@
 	}
 }
 
+// freshNow is for how long the list may be used.
+func (c *Client) freshNow() Fresh {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh.now()
+}
+
 // lost notes how a call or a watch of a source came to its end.
 func (c *Client) lost(at source, end End) {
 	if end.Why == Silent || end.Why == Local { // discovery may have told others of changes
@@ -339,10 +348,11 @@
 		return 0
 	default:
 	}
-	end := End{Why: why, Rev: c.current().rev, Err: err}
-	c.OnEnd(end)
-	c.lost(at, end)
 	waited := time.Since(began)
+	end := End{Why: why, Rev: c.current().rev, Err: err, Waited: waited}
+	c.lost(at, end)
+	end.Fresh = c.freshNow()
+	c.OnEnd(end)
 	if told {
 		waited = 0
 	}
@@ -410,12 +420,13 @@
 // with whatever comes. It tells whether there was a list that is in use, and how the watch
 // ended.
 func (c *Client) follow(r io.Reader, at source, alive func()) (told bool, err error) {
+	last, signsOfLife := time.Now(), 0 // since the last list, or the answer's head
 	confirm := func() {
 		if told {
 			c.note(at, (*freshness).told)
 		}
 	}
-	body := &stream{r: r, alive: alive, idle: confirm}
+	body := &stream{r: r, alive: alive, idle: func() { signsOfLife++; confirm() }}
 	lists := json.NewDecoder(body)
 	for first := true; ; first = false {
 		var text json.RawMessage
@@ -437,7 +448,9 @@
 			told = true
 			c.pacer.Told()
 			confirm()
-			log.Printf("event=list rev=%d all=%t entries=%d", l.Rev, l.All, len(l.Targets))
+			log.Printf("event=list rev=%d all=%t entries=%d since_ms=%d signs_of_life=%d", l.Rev, l.All, len(l.Targets),
+				time.Since(last).Milliseconds(), signsOfLife)
+			last, signsOfLife = time.Now(), 0
 		}
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -132,9 +132,7 @@
 		p.list.Pushed(cfg.logic.Grace/2, cfg.logic.Grace) // the other half is for the send itself
 	}
 	p.driver = newDriver(cfg, opt, p.stats)
-	p.list.OnEnd = func(end discovery.End) {
-		log.Printf("event=watch_ended why=%s rev=%d err=%q", end.Why, end.Rev, end.Err)
-	}
+	p.list.OnEnd = logWatchEnd
 	p.list.OnFresh = p.driver.listFresh
 	p.list.OnList = p.driver.list
 	p.sockets.relieve, p.clients.short, p.clients.wanted = p.relieve, p.sockets.short, p.sockets.wanted
@@ -142,6 +140,14 @@
 	return p, nil
 }
 
+// logWatchEnd logs how a call for the list or a watch ended, and for how long the list may
+// still be used: by what it holds, and by what backends have served.
+func logWatchEnd(end discovery.End) {
+	log.Printf("event=watch_ended why=%s rev=%d waited_ms=%d fresh_ms=%d serving_ms=%d err=%q", end.Why, end.Rev,
+		end.Waited.Milliseconds(), time.Until(end.Fresh.Until).Milliseconds(),
+		time.Until(end.Fresh.UntilServing).Milliseconds(), end.Err)
+}
+
 // Reload takes from cfg what a running proxy can: where discovery is, and how many
 // descriptors there are. The rest is for a start: the module, and what callers were
 // told, go by it. An error means that nothing was taken.
@@ -227,8 +233,8 @@
 	p.tasks.Go(func() { p.housekeeping(background) })
 	p.tasks.Go(func() { p.follow(background) })
 
-	log.Printf("event=start name=%q listen=%s tier=%d known=%d",
-		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known())
+	log.Printf("event=start name=%q listen=%s tier=%d known=%d rev=%d",
+		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known(), p.cfg.known.Rev)
 	p.enter(Serving)
 	accepted := make(chan error, 1)
 	go func() { accepted <- p.accept() }()
