--- /dev/null
+++ b/cmd/oxbowloft/stale_list_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// What counts as told though no list has brought it, on real processes: a backend that
+// discovery has had as gone for six seconds gets nothing new, also where it has come back
+// under its id and serves, until a list says so.
+
+const (
+	// toldWithin is how long after discovery has had a change it counts as told.
+	toldWithin = 6 * time.Second
+	// drainGrace is that of standin.Config, which gives none, and the protocol's slack.
+	drainGrace = 50 * time.Millisecond
+)
+
+// sendTimes is when a backend got each of its calls.
+type sendTimes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+// reply answers a call with the backend's name, and notes its time.
+func (s *sendTimes) reply(name string) func(*standin.Call) {
+	return func(c *standin.Call) {
+		s.mu.Lock()
+		s.times = append(s.times, time.Now())
+		s.mu.Unlock()
+		c.Reply(200, name)
+	}
+}
+
+// between is how many calls came from one time on and before another.
+func (s *sendTimes) between(from, to time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.times {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// staleListRun is a process that is told nothing of a backend's going and return.
+type staleListRun struct {
+	t                *testing.T
+	discovery        *standin.Discovery
+	known            string
+	leaving, staying *standin.Backend
+	toLeaving        sendTimes
+	process          *runningProgram
+}
+
+// restart kills the process and starts it again, with the list that it had.
+func (s *staleListRun) restart() {
+	s.process.signal(syscall.SIGKILL)
+	s.process.wait()
+	config := writeConfig(s.t, standin.Config(s.process.addr, s.discovery.Addr(), 256, s.known))
+	s.process = startCommand(s.t, exec.Command(program, "serve", "--grace", "20ms", config), s.process.addr)
+}
+
+// ask sends one request, and tells whether it was served.
+func (s *staleListRun) ask() bool {
+	c := s.process.dial()
+	defer c.Close()
+	return c.roundTrip(getRequest(1000)).status == 200
+}
+
+// askUntil sends requests up to a time, and tells how many were served.
+func (s *staleListRun) askUntil(end time.Time) (served int) {
+	for ; time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s.ask() {
+			served++
+		}
+	}
+	return served
+}
+
+// Discovery is too busy to tell of a backend that went and came back. However the process
+// got the list that it has, the backend's going counts six seconds after discovery had it.
+// The bounds follow from the list's own age, never from a call that failed, a sign of life
+// or a start of our own. Incident: docs/incidents/stale-lists.md.
+func TestReturnedBackendCountsAsGone(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		trouble func(s *staleListRun) // before the backend goes
+		back    func(s *staleListRun) // behind its return
+		serves  bool                  // the backend that stayed goes on being used meanwhile
+	}{
+		{"a process starts again with the list that it had", func(s *staleListRun) {
+			s.discovery.Crowd(500 * time.Millisecond)
+			s.discovery.Reset()
+		}, (*staleListRun).restart, false},
+		{"calls for the list are turned away", func(s *staleListRun) {
+			s.discovery.Crowd(500 * time.Millisecond)
+			s.discovery.Reset()
+		}, func(*staleListRun) {}, true},
+		{"the watch stands, and shows signs of life", func(*staleListRun) {}, func(*staleListRun) {}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := &staleListRun{t: t}
+			s.leaving = standin.NewBackend(t, s.toLeaving.reply("leaving"))
+			s.staying = standin.NewBackend(t, func(c *standin.Call) { c.Reply(200, "staying") })
+			targets := []string{standin.Target("s-0", s.leaving.Addr()), standin.Target("s-1", s.staying.Addr())}
+			s.known = standin.List(1, true, targets...)
+			s.discovery = standin.NewDiscovery(t, s.known)
+			s.process = start(t, s.discovery.Addr(), 256, s.known)
+			s.process.eventually("a watch", func() bool { return s.discovery.Watches() == 1 })
+			s.process.eventually("a request served", s.ask)
+			s.askUntil(time.Now().Add(300 * time.Millisecond))
+			if s.toLeaving.between(time.Time{}, time.Now()) == 0 {
+				t.Fatal("nothing sent to the backend while it was in service")
+			}
+
+			c.trouble(s)
+			s.leaving.Stop()
+			gone := time.Now() // discovery has it, and tells nobody
+			s.askUntil(gone.Add(2 * time.Second))
+			s.leaving.Restart(t)
+			c.back(s)
+			told := gone.Add(toldWithin)
+			s.askUntil(told.Add(drainGrace))
+			end := told.Add(2 * time.Second)
+			served := s.askUntil(end)
+			if n := s.toLeaving.between(told.Add(drainGrace), end); n > 0 {
+				t.Errorf("%d requests to a backend whose going counts as told", n)
+			}
+			if c.serves && served == 0 {
+				t.Error("nothing is served by the backend that never went")
+			}
+
+			// A list says that it is in service, and it is used again.
+			s.discovery.Begin(standin.List(3, true, targets...))
+			s.discovery.Down(false)
+			s.discovery.Push(standin.List(3, true, targets...))
+			s.process.eventually("use of the backend again", func() bool {
+				s.ask()
+				return s.toLeaving.between(end, time.Now()) > 0
+			})
+		})
+	}
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -59,6 +59,18 @@
 	b.tasks.Wait()
 }
 
+// Restart starts a backend that was stopped again, at the address that it had. The port is
+// free: nothing else listens at it between the two.
+func (b *Backend) Restart(t testing.TB) {
+	t.Helper()
+	ln, err := net.Listen("tcp", b.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.ln = ln
+	b.tasks.Go(b.accept)
+}
+
 // Cut closes all connections, and goes on accepting new ones.
 func (b *Backend) Cut() {
 	b.mu.Lock()
@@ -86,8 +98,9 @@
 }
 
 func (b *Backend) accept() {
+	ln := b.ln
 	for {
-		c, err := b.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -1,14 +1,20 @@
 package standin
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
+// lifeEvery is how often a watch that has nothing to tell shows that it stands.
+const lifeEvery = 2 * time.Second
+
 // Discovery is a stand-in for discovery: what a test says is written to each
 // watch, and what each call asked for is kept.
 type Discovery struct {
@@ -17,15 +23,23 @@
 	mu      sync.Mutex
 	asked   []string
 	down    bool
-	first   string // line of a new watch
-	watches map[chan string]bool
+	waiting time.Duration // that a call waits before it is turned away
+	first   string        // line of a new watch
+	watches map[chan string]net.Conn
 }
 
+// connKey is the key of a call's connection in its context.
+type connKey struct{}
+
 // NewDiscovery starts a discovery whose watches begin with the line first. It
 // ends with the test.
 func NewDiscovery(t testing.TB, first string) *Discovery {
-	d := &Discovery{first: first, watches: map[chan string]bool{}}
-	d.server = httptest.NewServer(d)
+	d := &Discovery{first: first, watches: map[chan string]net.Conn{}}
+	d.server = httptest.NewUnstartedServer(d)
+	d.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	d.server.Start()
 	t.Cleanup(func() {
 		d.Break()
 		d.server.Close()
@@ -41,12 +55,16 @@
 	lines := make(chan string, 100)
 	d.mu.Lock()
 	d.asked = append(d.asked, r.RequestURI)
-	down, first := d.down, d.first
+	down, waiting, first := d.down, d.waiting, d.first
 	if !down {
-		d.watches[lines] = true
+		d.watches[lines] = r.Context().Value(connKey{}).(net.Conn)
 	}
 	d.mu.Unlock()
 	if down {
+		select {
+		case <-time.After(waiting):
+		case <-r.Context().Done():
+		}
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
@@ -57,8 +75,13 @@
 	}()
 	fmt.Fprintln(w, first)
 	w.(http.Flusher).Flush()
+	life := time.NewTicker(lifeEvery)
+	defer life.Stop()
 	for {
 		select {
+		case <-life.C:
+			fmt.Fprintln(w)
+			w.(http.Flusher).Flush()
 		case line, ok := <-lines:
 			if !ok {
 				panic(http.ErrAbortHandler)
@@ -90,11 +113,30 @@
 	}
 }
 
+// Reset resets the connection of every watch, as a service that dies does.
+func (d *Discovery) Reset() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for w, c := range d.watches {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+		delete(d.watches, w)
+	}
+}
+
+// Crowd makes each call wait for so long and then fail, as a service does that has too
+// much to do, until Down says otherwise.
+func (d *Discovery) Crowd(waiting time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down, d.waiting = true, waiting
+}
+
 // Down makes each call fail, or no longer.
 func (d *Discovery) Down(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.down = down
+	d.down, d.waiting = down, 0
 }
 
 // Begin sets the line that new watches begin with.
