A list is as old as what it proves: no start, sign of life or failed call renews it

Change: at a start the list may be used once discovery has given one, or nobody is there to give one; the proxy says that it is ready then, or after 4 s. Past the list's time a backend is used that was there all the time since (logic/presence.go). On a watch, one that was found away for over 2 s is not used from 6 s after it was seen until a list has come, which is asked for beside the watch (internal/discovery/check.go). A refused connection no longer makes a stale list fresh.

--- a/cmd/oxbowloft/harness_test.go
+++ b/cmd/oxbowloft/harness_test.go
@@ -120,7 +120,12 @@
 	return r
 }
 
-// startCommand starts cmd and waits until it listens at addr. At the end of the test it ends
+// listWait is how long a test waits for a started program's first list. Where discovery is
+// silent or down there is none, and the program says that it is ready before that.
+const listWait = 5 * time.Second
+
+// startCommand starts cmd and waits until it listens at addr and has a list that it may use,
+// or has waited for one for long enough. At the end of the test it ends
 // the program, unless the test has, and looks for data races and panics in its log.
 func startCommand(t *testing.T, cmd *exec.Cmd, addr string) *runningProgram {
 	t.Helper()
@@ -157,6 +162,11 @@
 		}
 		return err == nil
 	})
+	for end := time.Now().Add(listWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if strings.Contains(r.logText(), "event=list_usable") {
+			break
+		}
+	}
 	return r
 }
 
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -21,8 +21,19 @@
 	// have served a call that was sent within Serving.
 	UntilServing time.Time
 	Serving      time.Duration
+	// Known is when discovery last told, by a list or a sign of life, that the list was whole,
+	// and Told when the last list came; zero: not since the start.
+	Known time.Time
+	Told  time.Time
+	// TellsLate says that changes may wait to be told while a watch shows signs of life.
+	TellsLate bool
 }
 
+// Gap is how long a backend may go unseen and still be taken for there all the time. One that
+// is away for less comes back before discovery could have listed it as gone: a sign of life
+// is as far from the next.
+const Gap = lifeEvery
+
 // freshness keeps for how long a list may be used. docs/design.md has a table of the bounds
 // with their sources.
 //
@@ -37,17 +48,20 @@
 	pushed     bool
 	serving    time.Duration // what drains by now was in service so long ago
 
-	word  time.Time // last list or sign of life; at first the start
-	heard time.Time // the same; at first zero
-	until time.Time // by the last word of discovery
-	ended time.Time // bound by a watch that ended and may not have told all; zero: none
-	cut   time.Time // last time that discovery could not be reached; zero: never
-	deaf  bool      // discovery has been silent, or has moved: it may have told others of changes
+	word    time.Time // last list or sign of life; at first the start
+	heard   time.Time // the same; at first zero
+	listed  time.Time // last list; at first zero
+	until   time.Time // by the last word of discovery
+	ended   time.Time // bound by a watch that ended and may not have told all; zero: none
+	cut     time.Time // last time that discovery could not be reached; zero: never
+	deaf    bool      // discovery has been silent, or has moved: it may have told others of changes
+	reached bool      // something of discovery has met a call in this life: it may have told others
 }
 
 // now is for how long the list may be used.
 func (f *freshness) now() Fresh {
-	now := Fresh{Until: f.until, UntilServing: f.until, Serving: f.serving}
+	now := Fresh{Until: f.until, UntilServing: f.until, Serving: f.serving,
+		Known: f.heard, Told: f.listed, TellsLate: !f.pushed}
 	if reached := f.cut.Add(TellWithin); !f.cut.IsZero() && !f.deaf && reached.After(f.until) {
 		now.UntilServing = reached
 	}
@@ -79,22 +93,48 @@
 	}
 }
 
-// started takes that the list known at the start is in use.
+// followed tells whether a watch stands that has told a list.
+func (f *freshness) followed() bool {
+	return !f.listed.IsZero() && f.ended.IsZero() && f.cut.IsZero() && !f.deaf
+}
+
+// started takes that the list known at the start is in use. It is what this proxy had last,
+// in an earlier life that may be long over, and nothing tells how old it is: what it lacks may
+// count as told already. Where lists are pushed all counts from the start on.
 func (f *freshness) started(now time.Time) {
 	f.word = now
-	f.extend(now.Add(f.unfollowed))
+	f.extend(now)
+	if f.pushed {
+		f.extend(now.Add(f.unfollowed))
+	}
+}
+
+// list takes that a list has come that is in use.
+func (f *freshness) list(now time.Time) {
+	f.listed = now
+	f.told(now)
 }
 
-// told takes that a watch has told all that it had: a list that is in use, or a sign of
-// life behind it. A change made before counts as told TellWithin later at the earliest.
+// told takes that a watch stands: a list that is in use, or a sign of life behind it. A sign
+// of life proves that discovery goes on telling, not that no change waits its turn.
 func (f *freshness) told(now time.Time) {
-	f.word, f.heard, f.ended, f.cut, f.deaf = now, now, time.Time{}, time.Time{}, false
+	f.word, f.heard, f.ended, f.cut, f.deaf, f.reached = now, now, time.Time{}, time.Time{}, false, true
 	f.extend(now.Add(TellWithin))
 }
 
-// unreachable takes that nobody was there who could have told of a change made since the
-// last watch. What that one had to tell was made before.
-func (f *freshness) unreachable(now time.Time) { f.extend(now.Add(f.unfollowed)) }
+// refused takes that a connection was refused: nobody was there who could have told of a
+// change. What does not count as told by now counts TellWithin later at the earliest; what
+// does so already goes on doing so, so that a list that is stale stays it. The list of the
+// start is taken for whole where there has been nobody from the start on.
+func (f *freshness) refused(now time.Time) {
+	f.cut = now
+	if f.pushed {
+		f.limit(now.Add(f.unfollowed))
+	}
+	if !f.reached || now.Before(f.until) {
+		f.extend(now.Add(f.unfollowed))
+	}
+}
 
 // watchEnded takes that a watch was closed, in order, by discovery: it may have had
 // something to tell.
@@ -109,7 +149,7 @@
 // discovery could not be reached or had too much to do. What it may have missed counts as
 // told by the clock as it is; where lists are pushed, what there is counts at once.
 func (f *freshness) callFailed(now time.Time) {
-	f.cut = now
+	f.cut, f.reached = now, true
 	if f.pushed {
 		f.limit(now.Add(f.unfollowed))
 	}
@@ -117,7 +157,7 @@
 
 // silent takes that a call or a watch fell silent, which moves nothing: what it misses counts
 // as told by the last word before it, also where lists are pushed.
-func (f *freshness) silent(time.Time) { f.deaf = true }
+func (f *freshness) silent(time.Time) { f.deaf, f.reached = true, true }
 
 // moved takes that a new configuration has named another source.
 func (f *freshness) moved(now time.Time) {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// lifeEvery is how often a watch that has nothing to tell shows that it stands.
+// lifeEvery is how often a watch shows that it stands, once the test wants that.
 const lifeEvery = 2 * time.Second
 
 // Discovery is a stand-in for discovery: what a test says is written to each
@@ -24,6 +24,7 @@
 	asked   []string
 	down    bool
 	waiting time.Duration // that a call waits before it is turned away
+	life    bool          // watches show signs of life
 	first   string        // line of a new watch
 	watches map[chan string]net.Conn
 }
@@ -80,8 +81,10 @@
 	for {
 		select {
 		case <-life.C:
-			fmt.Fprintln(w)
-			w.(http.Flusher).Flush()
+			if d.showsLife() {
+				fmt.Fprintln(w)
+				w.(http.Flusher).Flush()
+			}
 		case line, ok := <-lines:
 			if !ok {
 				panic(http.ErrAbortHandler)
@@ -94,6 +97,19 @@
 	}
 }
 
+// ShowLife makes all watches show signs of life from now on, whatever there is to tell.
+func (d *Discovery) ShowLife() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.life = true
+}
+
+func (d *Discovery) showsLife() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.life
+}
+
 // Push writes a line to every watch.
 func (d *Discovery) Push(line string) {
 	d.mu.Lock()
--- a/logic/api.go
+++ b/logic/api.go
@@ -87,6 +87,10 @@
 	Until        Time          // it holds all that counts as told until then; 0: for ever
 	UntilServing Time          // as far as it may be used, by what has served a call
 	Serving      time.Duration // that was sent within this time
+	Known        Time          // discovery last told, by a list or a sign of life, that it was whole; 0: never
+	Told         Time          // the last list came; 0: never
+	TellsLate    bool          // changes may wait while a watch shows signs of life
+	Gap          time.Duration // a backend not seen for longer may have been listed as gone meanwhile
 }
 
 // Request is a client's request, or a call from the tier above.
@@ -178,6 +182,12 @@
 	Stands(backend string, s Standing, failures float64)
 }
 
+// Lister gets a list anew. Actions may implement it.
+type Lister interface {
+	// AskList asks for a list, since one or more backends can't be used without.
+	AskList()
+}
+
 // Actions carries out what the module decides, in the order of the calls.
 type Actions interface {
 	// Send starts an attempt that times out after timeout.
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -17,6 +17,7 @@
 	set      Settings
 	act      Actions
 	observer Observer // nil: nobody observes
+	lister   Lister   // nil: lists come by themselves alone
 	rng      *rand.Rand
 	classes  []class
 	backends map[string]*backend
@@ -30,6 +31,7 @@
 	wakes    map[uint64]*request
 	token    uint64
 	fresh    ListFresh
+	doubts   bool          // a backend has been passed over for want of a list
 	patience time.Duration // first ejection
 
 	open          float64 // the limit on calls in flight, as a multiple of the base
@@ -86,9 +88,9 @@
 	spacing  float64 // what part of the spacing of cold calls must pass after that
 	paused   Time    // full lately: until then
 	used     Time    // last answer
-	took     Time    // last send that it served
-	gone     bool    // no longer listed
-	back     Time    // in again by hand, as a cold one: it was restarted meanwhile
+	presence presence
+	gone     bool // no longer listed
+	back     Time // in again by hand, as a cold one: it was restarted meanwhile
 }
 
 type request struct {
@@ -122,6 +124,7 @@
 		lastCall: now, arrived: now,
 	}
 	b.observer, _ = act.(Observer)
+	b.lister, _ = act.(Lister)
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, class{Class: c})
 		b.patience = max(b.patience, time.Duration(ejectPatience*float64(c.Deadline)))
--- a/logic/list.go
+++ b/logic/list.go
@@ -7,10 +7,29 @@
 // serving tells whether m is in service by the list and by hand.
 func (b *Balancer) serving(m *backend) bool { return m.State == Up && !b.banned[m.ID] }
 
-// sure is serving by a list that may be used, past its end for what has just served a call alone.
+// sure is serving by a list that may be used, past its end for what has been there all the time alone.
 func (b *Balancer) sure(now Time, m *backend) bool {
-	f := b.fresh
-	return b.serving(m) && (f.Until == 0 || now < f.Until || now < min(f.UntilServing, m.took+f.Serving))
+	f := &b.fresh
+	switch {
+	case !b.serving(m):
+		return false
+	case f.Until == 0:
+		return true
+	case now >= f.Until:
+		return now < f.UntilServing && m.presence.here(f, now)
+	case f.TellsLate && m.presence.doubtful(f, now):
+		b.doubts = true
+		return false
+	}
+	return true
+}
+
+// askList asks for a list where a backend has been passed over for want of one.
+func (b *Balancer) askList() {
+	if b.doubts && b.lister != nil {
+		b.lister.AskList()
+	}
+	b.doubts = false
 }
 
 // List takes news of the backends: the full list, or changed lines only.
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -58,7 +58,11 @@
 // Unreached takes that a connection to a backend which was late has not come up at all. A trial of an
 // ejected one has failed with it.
 func (b *Balancer) Unreached(now Time, id string) {
-	if m := b.backends[id]; m != nil && m.ejected > 0 {
+	m := b.backends[id]
+	if m != nil {
+		m.presence.missed(now, true)
+	}
+	if m != nil && m.ejected > 0 {
 		b.eject(now, m)
 	} else if m != nil {
 		b.judge(now, &attempt{to: m}, nil, NoConnect)
--- /dev/null
+++ b/logic/presence.go
@@ -0,0 +1,64 @@
+// Presence: what calls prove of a backend while the list may lack news of it.
+//
+// A change that discovery has and has not told counts some time after it was made, so that what matters is since
+// when a backend may have been drained or gone. One that serves a call was neither when the call was sent. One
+// that was away for a while, or may have been, can have been listed as gone meanwhile: that it serves again
+// proves nothing of that, only a list does.
+
+package logic
+
+// presence is when a backend was seen to be there.
+type presence struct {
+	seen    Time // last answer that served a call
+	took    Time // last send that it served
+	failed  Time // last call since then that found it away, or was turned away; 0: none
+	away    bool // one of those found it away
+	gap     gap  // any
+	absence gap  // those in which it was found away
+}
+
+// gap is a time through which a backend was not seen.
+type gap struct {
+	from Time // seen last before the first gap since the list
+	at   Time // seen again after the last one; 0: there was none
+}
+
+// widen takes another gap. What came before the list that is known is forgotten.
+func (g *gap) widen(known, from, at Time) {
+	if g.at <= known {
+		g.from = max(from, known)
+	}
+	g.at = at
+}
+
+// served takes that a call sent at some time has been served.
+func (p *presence) served(f *ListFresh, now, sent Time) {
+	if p.away && sent > p.seen+f.Gap {
+		p.absence.widen(f.Told, p.seen, now)
+	}
+	if last := max(p.seen, f.Known); sent > last+f.Gap {
+		p.gap.widen(f.Known, last, now)
+	}
+	p.seen, p.took, p.failed, p.away = now, max(p.took, sent), 0, false
+}
+
+// missed takes that a call found the backend away, or was turned away.
+func (p *presence) missed(now Time, away bool) { p.failed, p.away = now, p.away || away }
+
+// here tells whether the backend was there all the time since the list was known to be whole, or was seen so
+// lately that a change of it can't count yet.
+func (p *presence) here(f *ListFresh, now Time) bool {
+	if now >= p.took+f.Serving {
+		return false
+	}
+	return p.gap.at <= f.Known || now < p.gap.from+f.Serving
+}
+
+// doubtful tells whether a backend may have been listed as gone since the last list that was told, so long ago
+// that it counts: a watch that stands proves no more than that it stands.
+func (p *presence) doubtful(f *ListFresh, now Time) bool {
+	if p.failed > f.Told && now >= max(p.seen, f.Told)+f.Serving {
+		return true
+	}
+	return p.absence.at > f.Told && now >= p.absence.from+f.Serving
+}
--- /dev/null
+++ b/logic/presence_test.go
@@ -0,0 +1,164 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// presenceRun is one backend, and what was asked of it.
+type presenceRun struct {
+	t      *testing.T
+	b      *Balancer
+	f      *fake
+	serial int
+}
+
+// asker is Actions that counts lists that were asked for.
+type asker struct {
+	*fake
+	lists int
+}
+
+func (a *asker) AskList() { a.lists++ }
+
+func newPresenceRun(t *testing.T) (*presenceRun, *asker) {
+	a := &asker{fake: newFake()}
+	b := New(0, testSettings(), a)
+	b.List(0, true, []Backend{line("b", 0)})
+	b.setLimit(10)
+	return &presenceRun{t: t, b: b, f: a.fake}, a
+}
+
+// call sends a call at a time, if it is let out, which ends so a moment later.
+func (r *presenceRun) call(at Time, result Result) (sent bool) {
+	r.serial++
+	id, sends := fmt.Sprint(r.serial), len(r.f.sends)
+	r.b.Arrive(at, Request{ID: id, Class: unsafe, Budget: 2000 * ms})
+	if len(r.f.sends) == sends {
+		return false
+	}
+	r.b.Done(at+10*ms, Outcome{Request: id, Result: result, Latency: 10 * ms, Final: true})
+	return true
+}
+
+// calls makes a call each half second from one time on and before another.
+func (r *presenceRun) calls(from, to Time, result Result) (sent int) {
+	for at := from; at < to; at += 500 * ms {
+		if r.call(at, result) {
+			sent++
+		}
+	}
+	return sent
+}
+
+func freshAt(told, known, until, serving Time) ListFresh {
+	return ListFresh{Until: until, UntilServing: serving, Serving: 6000 * ms, Known: known, Told: told,
+		TellsLate: true, Gap: 2000 * ms}
+}
+
+// Past the time until which the list holds all that counts, a backend is used that has been
+// there ever since the list was known to be whole, and no other: one that was not seen for a
+// while may have been listed as gone in between, though it serves again.
+func TestPresencePastTheList(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(r *presenceRun)
+		used bool // at 17 s; the list was known to be whole at 10 s
+	}{
+		{"seen all the time", func(r *presenceRun) { r.calls(9000*ms, 17000*ms, OK) }, true},
+		{"seen with short breaks", func(r *presenceRun) {
+			r.calls(9000*ms, 12000*ms, OK)
+			r.calls(12500*ms, 13500*ms, NoConnect)
+			r.calls(13400*ms, 17000*ms, OK)
+		}, true},
+		{"not seen for a while, found away", func(r *presenceRun) {
+			r.calls(9000*ms, 10600*ms, OK)
+			r.calls(10700*ms, 13500*ms, NoConnect)
+			r.calls(13500*ms, 17000*ms, OK)
+		}, false},
+		{"not seen for a while, nothing sent", func(r *presenceRun) {
+			r.calls(9000*ms, 10600*ms, OK)
+			r.calls(13500*ms, 17000*ms, OK)
+		}, false},
+		{"first seen long after the list", func(r *presenceRun) { r.calls(13500*ms, 17000*ms, OK) }, false},
+		{"not seen since the list", func(r *presenceRun) { r.calls(9000*ms, 9600*ms, OK) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, _ := newPresenceRun(t)
+			r.b.ListFresh(freshAt(10000*ms, 10000*ms, 16000*ms, 30000*ms))
+			c.do(r)
+			if used := r.call(17000*ms, OK); used != c.used {
+				t.Errorf("used %t, want %t", used, c.used)
+			}
+		})
+	}
+}
+
+// While a watch stands a sign of life is no proof that nothing waits to be told. A backend
+// that was found away for a while is used until a change from then counts, and not after it,
+// though it serves again, until there is a list; one that turns all calls away likewise. A
+// list is asked for then.
+func TestPresenceOnAWatch(t *testing.T) {
+	const late = 17500 * ms // over 6 s after the backend was seen for the last time before its absence
+	for _, c := range []struct {
+		name   string
+		do     func(r *presenceRun)
+		pushed bool // nothing waits to be told
+		used   bool
+	}{
+		{"seen all the time", func(r *presenceRun) { r.calls(10000*ms, late, OK) }, false, true},
+		{"nothing sent", func(r *presenceRun) {}, false, true},
+		{"nothing sent for a while", func(r *presenceRun) {
+			r.calls(10000*ms, 11000*ms, OK)
+			r.calls(14000*ms, late, OK)
+		}, false, true},
+		{"a short break", func(r *presenceRun) {
+			r.calls(10000*ms, 11000*ms, OK)
+			r.call(11000*ms, Broken)
+			r.calls(12000*ms, late, OK)
+		}, false, true},
+		{"away for a while", func(r *presenceRun) {
+			r.calls(10000*ms, 11000*ms, OK)
+			r.calls(11000*ms, 14000*ms, NoConnect)
+			if r.calls(14000*ms, 16000*ms, OK) == 0 {
+				r.t.Error("not used though no change of it can count yet")
+			}
+		}, false, false},
+		{"away for a while, lists pushed", func(r *presenceRun) {
+			r.calls(10000*ms, 11000*ms, OK)
+			r.calls(11000*ms, 14000*ms, NoConnect)
+			r.calls(14000*ms, 16000*ms, OK)
+		}, true, true},
+		{"turned away for a while", func(r *presenceRun) {
+			r.calls(10000*ms, 11000*ms, OK)
+			r.calls(11000*ms, 14000*ms, Full)
+		}, false, false},
+		{"turned away, and served again", func(r *presenceRun) {
+			r.calls(10000*ms, 11000*ms, OK)
+			r.calls(11000*ms, 14000*ms, Full)
+			r.calls(14500*ms, late, OK)
+		}, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, asked := newPresenceRun(t)
+			fresh := freshAt(1000*ms, 17000*ms, 23000*ms, 23000*ms)
+			fresh.TellsLate = !c.pushed
+			r.b.ListFresh(fresh)
+			c.do(r)
+			asked.lists = 0
+			if used := r.call(late, OK); used != c.used {
+				t.Errorf("used %t, want %t", used, c.used)
+			}
+			if (asked.lists > 0) == c.used {
+				t.Errorf("a list asked for %d times", asked.lists)
+			}
+			// A list tells that it is in service.
+			fresh.Told = late + 100*ms
+			r.b.List(late+100*ms, false, nil)
+			r.b.ListFresh(fresh)
+			if !r.call(late+1000*ms, OK) {
+				t.Error("not used though a list says that it is in service")
+			}
+		})
+	}
+}
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -66,6 +66,7 @@
 	} else {
 		b.giveUp(q, b.obstacle(now, q))
 	}
+	b.askList()
 }
 
 // send starts an attempt. Its time-out is the full allowance; all that is left where none could follow it.
@@ -157,11 +158,14 @@
 	}
 	switch o.Result {
 	case OK:
-		a.to.used, a.to.took = now, max(a.to.took, a.sent)
+		a.to.used = now
+		a.to.presence.served(&b.fresh, now, a.sent)
 		c.learn(latency)
 		c.answers++ // the first ones count for more: what cost began with is no latency
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
 		c.rest = min(c.cost, (1-restRise)*cmp.Or(c.rest, c.cost)+restRise*c.cost)
+	case NoConnect, Broken, Full:
+		a.to.presence.missed(now, o.Result != Full)
 	case TimedOut, Error: // late errors, too: guards against an allowance that only ever sees the quick ones
 		if o.Result == TimedOut || latency > lateError*c.allowance {
 			c.learn(c.allowance)
--- a/proxy/clock.go
+++ b/proxy/clock.go
@@ -26,6 +26,14 @@
 
 func (c clock) at(t time.Time) logic.Time { return c.unix + t.Sub(c.start) }
 
+// ifEver is at, and 0 for the zero time: never.
+func (c clock) ifEver(t time.Time) logic.Time {
+	if t.IsZero() {
+		return 0
+	}
+	return c.at(t)
+}
+
 // booted is when a backend has started, by the stamp that discovery gives and by what this
 // process knows itself; 0 is long ago. Clocks of machines may have been stepped, so that a
 // stamp is believed only as far as it can be true: the start was not later than now, when
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -21,9 +21,10 @@
 // which it is made. It does no I/O under its lock: what the module asks for is
 // handed to the request it is for, or kept until the lock is free.
 type driver struct {
-	clock clock
-	opt   *upstream.Options
-	stats *stats
+	clock   clock
+	opt     *upstream.Options
+	stats   *stats
+	askList func() // asks for a check of the list; nil: there are none
 
 	mu       sync.Mutex
 	balancer *logic.Balancer
@@ -343,6 +344,10 @@
 		Until:        d.clock.at(f.Until),
 		UntilServing: d.clock.at(f.UntilServing),
 		Serving:      f.Serving,
+		Known:        d.clock.ifEver(f.Known),
+		Told:         d.clock.ifEver(f.Told),
+		TellsLate:    f.TellsLate,
+		Gap:          discovery.Gap,
 	}
 	d.do(func(logic.Time) { d.balancer.ListFresh(fresh) })
 }
@@ -437,6 +442,13 @@
 	}
 }
 
+// AskList implements logic.Lister.
+func (d *driver) AskList() {
+	if d.askList != nil {
+		d.later = append(d.later, d.askList)
+	}
+}
+
 // CloseIdle implements logic.Actions.
 func (d *driver) CloseIdle(backend string) {
 	// Out of use at once, since the module may send to it next; closed later.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -72,6 +72,7 @@
 	transfers *http1.Transfers
 	driver    *driver
 	list      *discovery.Client
+	readiness readiness
 	stats     *stats
 	listener  listener
 	acceptLog logging.Limit // of accepts that failed
@@ -128,12 +129,18 @@
 		opt.IdleLimit = defaultIdle
 	}
 	p.list = discovery.New(cfg.Discovery, cfg.known.Rev, cfg.pacer())
-	if !cfg.listAsked {
+	if cfg.listAsked {
+		p.list.CheckEvery = cfg.askWithin
+	} else {
 		p.list.Pushed(cfg.logic.Grace/2, cfg.logic.Grace) // the other half is for the send itself
 	}
 	p.driver = newDriver(cfg, opt, p.stats)
+	p.driver.askList = p.list.Check
 	p.list.OnEnd = logWatchEnd
-	p.list.OnFresh = p.driver.listFresh
+	p.list.OnFresh = func(f discovery.Fresh) {
+		p.driver.listFresh(f)
+		p.readiness.note(f)
+	}
 	p.list.OnList = p.driver.list
 	p.sockets.relieve, p.clients.short, p.clients.wanted = p.relieve, p.sockets.short, p.sockets.wanted
 	p.driver.list(cfg.known)
@@ -173,8 +180,11 @@
 	log.Printf("event=phase phase=%s", ph)
 }
 
-// Ready tells whether the proxy can serve.
-func (p *Proxy) Ready() bool { return p.Phase() == Serving && p.driver.known() > 0 }
+// Ready tells whether the proxy can serve: it knows a backend, and has had a list that may be
+// used, or has waited for one for long enough.
+func (p *Proxy) Ready() bool {
+	return p.Phase() == Serving && p.driver.known() > 0 && p.readiness.reached()
+}
 
 // Addr is where the proxy listens, from Serving on.
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
@@ -235,6 +245,7 @@
 
 	log.Printf("event=start name=%q listen=%s tier=%d known=%d rev=%d",
 		p.cfg.Name, p.Addr(), p.cfg.logic.Tier, p.driver.known(), p.cfg.known.Rev)
+	p.readiness.began = time.Now()
 	p.enter(Serving)
 	accepted := make(chan error, 1)
 	go func() { accepted <- p.accept() }()
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -538,6 +538,7 @@
 			done := make(chan error)
 			go func() { done <- p.Run(ctx) }()
 			defer func() { cancel(); <-done }()
+			eventually(t, "a list that may be used", p.readiness.had.Load)
 			began := time.Now()
 			cl := dial(t, p)
 			io.WriteString(cl, text(c.class, 2000))
--- /dev/null
+++ b/proxy/ready_test.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"oxbowloft/internal/standin"
+)
+
+// A proxy is ready with the first list that may be used, or once it has waited for one for
+// long enough: guards against callers that are refused by a process that has just started
+// while another could serve them, and against a start that waits for good.
+func TestReadyWithAList(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	known := standin.List(1, true, standin.Target("s-1", b.Addr()))
+	d := standin.NewDiscovery(t, known)
+	d.Down(true)
+	p := listening(t, known, d.Addr())
+	defer running(t, p)()
+	if took := time.Since(p.readiness.began); took < readyAnyway {
+		t.Errorf("ready after %v without a list, want %v", took, readyAnyway)
+	}
+	d.Down(false)
+	q := listening(t, known, d.Addr())
+	defer running(t, q)()
+	if took := time.Since(q.readiness.began); took >= readyAnyway {
+		t.Errorf("ready after %v though discovery gives a list", took)
+	}
+	if !q.readiness.had.Load() {
+		t.Error("ready with no list")
+	}
+}
--- a/proxy/sockets_test.go
+++ b/proxy/sockets_test.go
@@ -54,12 +54,13 @@
 	b, moved := standin.NewBackend(t, standin.Echo), standin.NewBackend(t, standin.Echo)
 	known := standin.List(1, true, standin.Target("s-1", b.Addr()))
 	d := standin.NewDiscovery(t, known)
-	d.Down(true)
 	p := listening(t, known, d.Addr())
 	p.sockets.resize(ownSockets + 8)
 	// None of the crowd makes room.
 	p.clients.freshLeast, p.clients.newLimit, p.clients.idleLimit = time.Hour, time.Hour, time.Hour
 	defer running(t, p)()
+	d.Down(true) // once there has been a list: that of the start alone may not be used
+	d.Reset()
 	var crowd []net.Conn
 	for range 12 {
 		crowd = append(crowd, dial(t, p))
