Soak: crowded discovery, returns under an id, old lists, signals in series, crowds, early kills

Terms of the operators that the soak did not play: discovery that has too much to do (calls wait and fail, watches show signs of life and tell nothing), backends that are told to be gone and come back cold under their id, starts with the list as it was last had, long lists written slowly, short and long deadlines by seed, SIGKILL at the protocol's earliest (the check that a process ends stays: it must have come to its last phase, and what it still has counts as lost), signals in series, and idle clients that fill the descriptors. What a proxy has been told goes by version: a return does not take back a going that counts later. go test ./internal/soak: passed.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -49,7 +50,11 @@
 }
 
 // endpoint is where a proxy reaches the backend.
-func (b *backend) endpoint(proxy int) string { return b.listeners[proxy].Addr().String() }
+func (b *backend) endpoint(proxy int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listeners[proxy].Addr().String()
+}
 
 // behave makes the backend do as a trouble says for a time.
 func (b *backend) behave(kind Trouble, span time.Duration) {
@@ -168,12 +173,41 @@
 	}
 }
 
+// leave makes the backend be away: its connections are reset, and new ones refused.
+func (b *backend) leave() {
+	for _, ln := range b.listeners {
+		ln.Close()
+	}
+	b.reset()
+}
+
+// comeBack ends that: the backend listens where it did.
+func (b *backend) comeBack() error {
+	for proxy, old := range b.listeners {
+		ln, err := net.Listen("tcp", old.Addr().String())
+		if err != nil {
+			return err
+		}
+		b.mu.Lock()
+		b.listeners[proxy] = ln
+		closed := b.closed
+		b.mu.Unlock()
+		if closed {
+			ln.Close()
+			return nil
+		}
+		b.tasks.Go(func() { b.accept(ln, proxy) })
+	}
+	return nil
+}
+
 // close ends the backend: its connections are reset, and new ones refused.
 func (b *backend) close() {
 	b.mu.Lock()
 	b.closed = true
+	listeners := slices.Clone(b.listeners)
 	b.mu.Unlock()
-	for _, ln := range b.listeners {
+	for _, ln := range listeners {
 		ln.Close()
 	}
 	b.reset()
--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -70,8 +70,8 @@
 
 	mu         sync.Mutex
 	requests   map[string]*request
-	gone       map[string]map[int]time.Time // by backend and proxy: told to be draining or gone
-	paused     map[int][]span               // by proxy: times in which it was held up
+	news       map[string]map[int]told // by backend and proxy: what was told last
+	paused     map[int][]span          // by proxy: times in which it was held up
 	violations []Violation
 	outcomes   map[string]int
 	ended      bool
@@ -80,13 +80,19 @@
 
 type span struct{ from, to time.Time }
 
+// told is the newest change of a backend that a proxy has been told.
+type told struct {
+	rev     int64
+	leaving time.Time // since when it has been told of a going; zero: it is in service
+}
+
 // NewBook returns empty books that begin now.
 func NewBook(grace time.Duration) *Book {
 	return &Book{
 		start:    time.Now(),
 		grace:    grace,
 		requests: map[string]*request{},
-		gone:     map[string]map[int]time.Time{},
+		news:     map[string]map[int]told{},
 		paused:   map[int][]span{},
 		outcomes: map[string]int{},
 	}
@@ -138,6 +144,13 @@
 	return out
 }
 
+// Count counts something that is no violation by itself.
+func (b *Book) Count(what string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outcomes[what]++
+}
+
 // Breach notes a violation that concerns no single request.
 func (b *Book) Breach(rule Rule, detail string) {
 	b.mu.Lock()
@@ -203,7 +216,7 @@
 	now := time.Now()
 	b.note(r, "backend %s reads it from proxy %d, told %d ms, ran %t", backend, proxy, told.Milliseconds(), ran)
 	held := b.heldUp(proxy, began)
-	if at, ok := b.gone[backend][proxy]; ok && began.Sub(at) > b.grace+drainSlack && !held {
+	if at := b.news[backend][proxy].leaving; !at.IsZero() && began.Sub(at) > b.grace+drainSlack && !held {
 		b.breach(RuleDrain, r, fmt.Sprintf("sent to %s %v after it was told to be leaving", backend, began.Sub(at)))
 	}
 	if left := r.sent.Add(r.budget).Sub(began); told > left+deadlineSlack && !held {
@@ -280,20 +293,26 @@
 	b.breach(RuleLost, r, how)
 }
 
-// Told notes that a proxy has been told that a backend is leaving, or serves again.
-func (b *Book) Told(backend string, proxy int, leaving bool) {
+// Told notes that a proxy has been told of a backend as it was at a version: that it is leaving
+// or gone, or that it serves. What is older than what it has been told before says nothing.
+func (b *Book) Told(backend string, proxy int, rev int64, leaving bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !leaving {
-		delete(b.gone[backend], proxy)
-		return
+	if b.news[backend] == nil {
+		b.news[backend] = map[int]told{}
 	}
-	if b.gone[backend] == nil {
-		b.gone[backend] = map[int]time.Time{}
+	last := b.news[backend][proxy]
+	if rev <= last.rev {
+		return
 	}
-	if _, ok := b.gone[backend][proxy]; !ok {
-		b.gone[backend][proxy] = time.Now()
+	next := told{rev: rev}
+	if leaving {
+		next.leaving = last.leaving // it was leaving before: from then on
+		if next.leaving.IsZero() {
+			next.leaving = time.Now()
+		}
 	}
+	b.news[backend][proxy] = next
 }
 
 // Held notes that a proxy was held up for longer than the protocol allows for: what it did
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -73,7 +73,7 @@
 
 func (c *client) draw() (id string, class Class, budget time.Duration) {
 	c.asked++
-	class = classes[c.rng.IntN(len(classes))]
+	class = c.run.classes[c.rng.IntN(len(c.run.classes))]
 	budget = class.Deadline
 	if c.rng.IntN(8) == 0 { // what is left of a longer wait
 		budget = 5*time.Millisecond + time.Duration(c.rng.Int64N(int64(budget)))
@@ -133,7 +133,8 @@
 		}
 		return nil
 	}
-	crossed := mayCross && c.used && resp == nil && !book.Seen(id) && !neterror.IsDeadline(err)
+	unread := c.used || c.run.crowdedBy(proxy) // its connection may be closed with nothing read on it
+	crossed := mayCross && unread && resp == nil && !book.Seen(id) && !neterror.IsDeadline(err)
 	if crossed {
 		return errSentAgain
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -13,14 +14,40 @@
 	Safe     bool // may run any number of times
 }
 
-// The classes of a run: one that may be repeated, one that must not run twice, and one with
-// little time.
-var classes = []Class{
+// usualClasses are the classes of a run, before its seed says how long the deadlines are: one
+// that may be repeated, one that must not run twice, and one with little time.
+var usualClasses = []Class{
 	{Name: "get", Deadline: 1500 * time.Millisecond, Safe: true},
 	{Name: "pay", Deadline: 1200 * time.Millisecond},
 	{Name: "quick", Deadline: 200 * time.Millisecond, Safe: true},
 }
 
+// drawClasses is the classes of a seed: with usual deadlines, short and long ones.
+func drawClasses(seed uint64) []Class {
+	scales := [...]float64{1, 0.4, 2.4}
+	drawn := slices.Clone(usualClasses)
+	for i := range drawn {
+		drawn[i].Deadline = time.Duration(scales[seed%uint64(len(scales))] * float64(drawn[i].Deadline))
+	}
+	return drawn
+}
+
+const (
+	// longestCounted is the most that counts of the longest deadline where a process is told
+	// to end, and killBehind when after that the platform kills it, by the protocol.
+	longestCounted = 3 * time.Second
+	killBehind     = 700 * time.Millisecond
+)
+
+// killAfter is how long after SIGTERM the platform kills a process, at the earliest.
+func killAfter(classes []Class) time.Duration {
+	var longest time.Duration
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestCounted) + killBehind
+}
+
 // Plan is what a run has.
 type Plan struct {
 	Program  string // the built proxy
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,14 +32,11 @@
 	killed     bool // it has been killed by the run
 	ready      bool // clients may choose it
 	moves      int  // of its discovery
+	told       int  // the last start that was told to end
 }
 
 const (
 	readyWithin = 10 * time.Second
-	// endWithin is when the platform kills a process that it has told to end: the longest
-	// deadline, and 0.7 s; beside that, what the kernel and the run take.
-	endWithin = 1500*time.Millisecond + 700*time.Millisecond
-	endSlack  = 500 * time.Millisecond
 	// noticed is after what time callers no longer choose a proxy that is told to end.
 	noticed = 300 * time.Millisecond
 )
@@ -52,12 +49,12 @@
 "limits":{"conn-idle-ms":2000,"dial-timeout-ms":250,"max-attempts":4,"retry-after":true,"max-retry-after-ms":500},
 "rules":{"ask-within-ms":4000,"stop-sending-within-ms":%d,"cold-from":%g,"warm-within-ms":%d}}}`,
 		p.number, p.addr, p.run.registry.addr(p.number, p.moves), p.number+1, p.run.registry.known(p.number),
-		len(p.run.proxies), p.number, p.run.discoveryKind(), classesText(),
+		len(p.run.proxies), p.number, p.run.discoveryKind(), classesText(p.run.classes),
 		grace.Milliseconds(), coldFrom, warmWithin.Milliseconds())
 	return os.WriteFile(p.config, []byte(text), 0o600)
 }
 
-func classesText() string {
+func classesText(classes []Class) string {
 	var parts []string
 	for _, c := range classes {
 		kind := "single_shot"
@@ -151,6 +148,19 @@
 	}
 }
 
+// signalIfEnding sends a signal to a process that has been told to end and has not.
+func (p *process) signalIfEnding(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+	default:
+		if p.ending {
+			p.cmd.Process.Signal(s)
+		}
+	}
+}
+
 // terminate tells the process to end and waits for it. It returns false where it was ending
 // already.
 func (p *process) terminate() bool {
@@ -159,7 +169,7 @@
 		p.mu.Unlock()
 		return false
 	}
-	p.ending = true
+	p.ending, p.told = true, p.generation
 	exited := p.exited
 	p.mu.Unlock()
 	p.signal(syscall.SIGTERM)
@@ -172,8 +182,12 @@
 	})
 	select {
 	case <-exited:
-	case <-time.After(endWithin + endSlack + p.run.pauseSlack()):
-		p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d has not ended %v after SIGTERM", p.number, endWithin+endSlack))
+	case <-time.After(killAfter(p.run.classes) + p.run.pauseSlack()):
+		// What it still has is lost, as its clients tell. It must at least be about to end.
+		if !p.finishing() {
+			p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d goes on %v after SIGTERM", p.number, killAfter(p.run.classes)))
+		}
+		p.run.book.Count("ended_by_sigkill")
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-exited
@@ -200,6 +214,16 @@
 	return true
 }
 
+// finishing tells whether the process has come to the last phase of its end.
+func (p *process) finishing() bool {
+	text, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return false
+	}
+	life := text[max(0, bytes.LastIndex(text, []byte("event=start "))):]
+	return bytes.Contains(life, []byte("phase=finishing"))
+}
+
 // panicked looks for a panic in the log.
 func (p *process) panicked() string {
 	text, err := os.ReadFile(p.logPath())
--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -12,18 +12,13 @@
 
 // target is one entry of the list, with an endpoint for each proxy.
 type target struct {
+	rev     int64 // of its last change
 	uid     string
 	state   string
 	boot    time.Time // zero: long ago
 	backend *backend
 }
 
-// change is an entry as it was at a version.
-type change struct {
-	rev int64
-	target
-}
-
 // registry is the stand-in for discovery. It listens twice for each proxy, so that a new
 // configuration can move it.
 type registry struct {
@@ -32,12 +27,15 @@
 	mu        sync.Mutex
 	rev       int64
 	targets   map[string]target
-	changes   []change
+	changes   []target      // as they were at their versions
+	written   map[int]int64 // by proxy: the newest version that was written to it
 	changed   chan struct{} // closed at each change
 	ended     chan struct{} // closed when all watches end in order
 	downUntil time.Time
 	silent    time.Time
 	slow      time.Time
+	crowded   time.Time
+	fillers   int // further entries of a whole list, which is written slowly then
 
 	servers []*registryServer
 	tasks   sync.WaitGroup
@@ -58,7 +56,8 @@
 const addresses = 2
 
 func newRegistry(book *Book, proxies int) (*registry, error) {
-	r := &registry{book: book, targets: map[string]target{}, changed: make(chan struct{}), ended: make(chan struct{})}
+	r := &registry{book: book, targets: map[string]target{}, written: map[int]int64{}, changed: make(chan struct{}),
+		ended: make(chan struct{})}
 	for i := range proxies * addresses {
 		s := &registryServer{registry: r, proxy: i / addresses, addr: host(hostRegistry) + ":0"}
 		r.servers = append(r.servers, s)
@@ -119,27 +118,22 @@
 	r.tasks.Wait()
 }
 
-// set makes a change, and returns its version. What is leaving counts as told at the latest
-// after tellWithin in which discovery could be reached.
+// set makes a change, which counts as told at the latest after tellWithin in which discovery
+// could be reached.
 func (r *registry) set(t target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rev++
+	t.rev = r.rev
 	r.targets[t.uid] = t
-	r.changes = append(r.changes, change{r.rev, t})
+	r.changes = append(r.changes, t)
 	close(r.changed)
 	r.changed = make(chan struct{})
-	if t.state == "in_service" {
-		for proxy := range t.backend.listeners {
-			r.book.Told(t.backend.name, proxy, false)
-		}
-		return
-	}
 	r.tasks.Go(func() { r.tellLate(t) })
 }
 
 // tellLate notes a change as told to all once discovery has had it for tellWithin, counted
-// anew after each outage.
+// anew after each outage. A crowd is no outage: who got through has been told.
 func (r *registry) tellLate(t target) {
 	since := time.Now()
 	for time.Since(since) < tellWithin {
@@ -149,14 +143,13 @@
 		if now.Before(r.downUntil) || now.Before(r.slow) {
 			since = now
 		}
-		latest := r.targets[t.uid]
 		r.mu.Unlock()
-		if latest.state == "in_service" || r.book.over() {
+		if r.book.over() {
 			return
 		}
 	}
 	for proxy := range t.backend.listeners {
-		r.book.Told(t.backend.name, proxy, true)
+		r.book.Told(t.backend.name, proxy, t.rev, t.state != "in_service")
 	}
 }
 
@@ -213,6 +206,20 @@
 	r.slow = time.Now().Add(span)
 }
 
+// beCrowded makes calls wait and then fail for a time, and watches late with all they have to
+// tell, though they show signs of life.
+func (r *registry) beCrowded(span time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crowded = time.Now().Add(span)
+}
+
+func (r *registry) isCrowded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.crowded)
+}
+
 // wire is an entry as a proxy gets it.
 type wireTarget struct {
 	UID      string  `json:"uid"`
@@ -246,35 +253,95 @@
 			}
 			told = append(told, t)
 		}
+		for n := range r.fillers {
+			entries = append(entries, filler(n))
+		}
 	} else {
-		for _, c := range r.changes {
-			if c.rev > after {
-				entries = append(entries, c.target.wire(proxy))
-				told = append(told, r.targets[c.uid])
+		for _, t := range r.changes {
+			if t.rev > after {
+				entries = append(entries, t.wire(proxy))
+				told = append(told, t)
 			}
 		}
 	}
-	line, err := json.Marshal(map[string]any{"rev": r.rev, "all": all, "targets": entries})
+	return listLine(r.rev, all, entries), r.rev, told
+}
+
+func listLine(rev int64, all bool, entries []wireTarget) []byte {
+	line, err := json.Marshal(map[string]any{"rev": rev, "all": all, "targets": entries})
 	if err != nil {
 		panic(err)
 	}
-	return append(line, '\n'), r.rev, told
+	return append(line, '\n')
+}
+
+// filler is an entry of a backend that drains all the time, and makes a list long.
+func filler(n int) wireTarget {
+	return wireTarget{UID: fmt.Sprintf("f-%d", n), Endpoint: "127.0.0.1:1", Zone: "z1", Model: "m", Cell: 1,
+		State: "terminating", Size: 1}
 }
 
-// known is the list that a proxy starts with.
+// known is the list that a proxy starts with: as it had it last, or all at the run's start.
 func (r *registry) known(proxy int) string {
-	line, _, told := r.list(proxy, 0, true)
-	r.tell(proxy, told)
-	return string(line)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, ok := r.written[proxy]
+	if !ok {
+		last = r.rev
+		r.written[proxy] = last
+	}
+	latest := map[string]target{}
+	for _, t := range r.changes {
+		if t.rev <= last {
+			latest[t.uid] = t
+		}
+	}
+	entries := []wireTarget{}
+	for _, t := range latest {
+		if t.state == "in_service" {
+			entries = append(entries, t.wire(proxy))
+		}
+	}
+	return string(listLine(last, true, entries))
 }
 
-// tell notes what a proxy has been told.
-func (r *registry) tell(proxy int, told []target) {
+// tell notes what a proxy has been told with a list of a version.
+func (r *registry) tell(proxy int, rev int64, told []target) {
+	r.mu.Lock()
+	r.written[proxy] = max(r.written[proxy], rev)
+	r.mu.Unlock()
 	for _, t := range told {
-		r.book.Told(t.backend.name, proxy, t.state != "in_service")
+		r.book.Told(t.backend.name, proxy, t.rev, t.state != "in_service")
 	}
 }
 
+// Of a long list, so many bytes are written at once, and so long a pause follows.
+const (
+	pieceSize  = 16 << 10
+	piecePause = 20 * time.Millisecond
+)
+
+// write writes a line of a watch, a long one in pieces.
+func write(w http.ResponseWriter, line []byte) error {
+	flush := http.NewResponseController(w)
+	for len(line) > 0 {
+		n := min(len(line), pieceSize)
+		if _, err := w.Write(line[:n]); err != nil {
+			return err
+		}
+		if err := flush.Flush(); err != nil {
+			return err
+		}
+		if line = line[n:]; len(line) > 0 {
+			time.Sleep(piecePause)
+		}
+	}
+	return nil
+}
+
+// crowdLimit is how long a call waits in a crowd before it is turned away.
+const crowdLimit = 700 * time.Millisecond
+
 // ServeHTTP is one watch.
 func (s *registryServer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r := s.registry
@@ -289,6 +356,15 @@
 			return
 		}
 	}
+	for from := time.Now(); r.isCrowded(); {
+		if time.Since(from) > crowdLimit {
+			http.Error(w, "waited too long", http.StatusServiceUnavailable)
+			return
+		}
+		if !wait(req, 50*time.Millisecond) {
+			return
+		}
+	}
 	after, err := strconv.ParseInt(req.URL.Query().Get("index"), 10, 64)
 	all := err != nil || after == 0 || after%3 == 0 // some begin with the whole list
 	life, flush := time.Now(), http.NewResponseController(w)
@@ -298,15 +374,12 @@
 		r.mu.Unlock()
 		switch {
 		case r.isSilent():
-		case first || rev > after:
+		case first || rev > after && !r.isCrowded():
 			line, rev, told := r.list(s.proxy, after, first && all)
-			if _, err := w.Write(line); err != nil {
-				return
-			}
-			if flush.Flush() != nil { // its connection has ended: nothing was told
+			if write(w, line) != nil { // its connection has ended: nothing was told
 				return
 			}
-			r.tell(s.proxy, told)
+			r.tell(s.proxy, rev, told)
 			after, life = rev, time.Now()
 		case time.Since(life) >= time.Second:
 			fmt.Fprintln(w)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -28,6 +29,7 @@
 // run is one run.
 type run struct {
 	plan     *Plan
+	classes  []Class
 	book     *Book
 	registry *registry
 	proxies  []*process
@@ -39,6 +41,7 @@
 	serial   int
 	seed     uint64
 	troubles map[Trouble]time.Time // of clients: until when
+	crowds   map[int]time.Time     // by proxy: until when idle clients fill its descriptors
 	longest  time.Duration         // pause of a process
 	tasks    sync.WaitGroup
 }
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{plan: plan, book: NewBook(grace), seed: seed, troubles: map[Trouble]time.Time{}, leaving: map[*backend]bool{}}
+	r := &run{plan: plan, classes: drawClasses(seed), book: NewBook(grace), seed: seed, troubles: map[Trouble]time.Time{}, crowds: map[int]time.Time{}, leaving: map[*backend]bool{}}
 	defer r.stop()
 	if err := r.prepare(dir); err != nil {
 		return nil, err
@@ -96,11 +99,20 @@
 	return report, ctx.Err()
 }
 
+// One of so many seeds has a long list, with so many entries beside those that serve.
+const (
+	longListEach = 4
+	longList     = 1500
+)
+
 // prepare starts discovery and backends, and makes the proxies' configurations.
 func (r *run) prepare(dir string) (err error) {
 	if r.registry, err = newRegistry(r.book, r.plan.Proxies); err != nil {
 		return err
 	}
+	if r.seed%longListEach == 0 {
+		r.registry.fillers = longList
+	}
 	for range r.plan.Backends {
 		if err := r.addBackend(time.Time{}); err != nil {
 			return err
@@ -172,8 +184,16 @@
 		r.registry.saySilent(e.Span)
 	case DiscoverySlow:
 		r.registry.beSlow(e.Span)
+	case DiscoveryCrowd:
+		r.registry.beCrowded(e.Span)
 	case WatchesEnd:
 		r.registry.endWatches()
+	case Away:
+		r.away(b, e.Span)
+	case Signals:
+		r.signals(e.Target)
+	case Crowd:
+		r.crowd(p, e.Span)
 	case Drain:
 		r.drain(b, e.Span)
 	case Restart:
@@ -220,6 +240,91 @@
 	r.mu.Unlock()
 }
 
+// noticeAfter is how long a backend has to be away until discovery has it as gone.
+const noticeAfter = 700 * time.Millisecond
+
+// away makes a backend be away for a time, through which discovery has it as gone. It comes
+// back cold under its id, and serves before discovery says so.
+func (r *run) away(b *backend, span time.Duration) {
+	r.mu.Lock()
+	already := r.leaving[b]
+	r.leaving[b] = true
+	r.mu.Unlock()
+	if already {
+		return
+	}
+	b.leave()
+	time.Sleep(noticeAfter)
+	r.registry.set(target{uid: b.name, state: "terminated", backend: b})
+	time.Sleep(span)
+	boot := time.Now()
+	if err := b.comeBack(); err != nil {
+		r.book.Void("a backend could not listen again: " + err.Error())
+		return
+	}
+	time.Sleep(noticeAfter)
+	r.registry.set(target{uid: b.name, state: "in_service", boot: boot, backend: b})
+	r.mu.Lock()
+	delete(r.leaving, b)
+	r.mu.Unlock()
+}
+
+// Between signals of a series.
+const (
+	signalPause = 50 * time.Millisecond
+	nextPause   = 200 * time.Millisecond
+)
+
+// signals tells two proxies, one after the other, to read their configuration, to end, and
+// to read it again while they do.
+func (r *run) signals(target int) {
+	for n := range min(2, len(r.proxies)) {
+		p := r.proxies[(target+n)%len(r.proxies)]
+		r.tasks.Go(func() {
+			p.signal(syscall.SIGHUP)
+			time.Sleep(signalPause)
+			time.AfterFunc(signalPause, func() { p.signalIfEnding(syscall.SIGHUP) })
+			if p.terminate() {
+				p.start()
+			}
+		})
+		time.Sleep(nextPause)
+	}
+}
+
+// crowdSize is how many idle clients a crowd has: more than a proxy has descriptors for.
+const crowdSize = 260
+
+// crowd fills a proxy's descriptors with clients that say nothing.
+func (r *run) crowd(p *process, span time.Duration) {
+	r.mu.Lock()
+	r.crowds[p.number] = time.Now().Add(span + time.Second)
+	r.mu.Unlock()
+	var idle []net.Conn
+	defer func() {
+		for _, c := range idle {
+			c.Close()
+		}
+	}()
+	end := time.Now().Add(span)
+	for range crowdSize {
+		c, err := net.DialTimeout("tcp", p.addr, signalPause)
+		if err != nil || time.Now().After(end) {
+			break
+		}
+		idle = append(idle, c)
+	}
+	time.Sleep(time.Until(end))
+}
+
+// crowdedBy tells whether idle clients fill a proxy's descriptors, or have just done so: new
+// connections may be closed unread then.
+func (r *run) crowdedBy(proxy int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.crowds[proxy])
+}
+
 // allowedPause is how long a proxy may be held up with all rules in force.
 const allowedPause = 150 * time.Millisecond
 
@@ -280,7 +385,7 @@
 func (r *run) excuse(proxy, generation int, begun bool) string {
 	p := r.proxies[proxy]
 	p.mu.Lock()
-	killed := p.killed || p.generation != generation && !p.ending
+	killed := generation != p.told && (p.killed || p.generation != generation)
 	p.mu.Unlock()
 	switch {
 	case killed:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -19,7 +19,11 @@
 	DiscoveryDown   Trouble = "discovery_down"   // calls are refused, watches reset
 	DiscoverySilent Trouble = "discovery_silent" // watches and calls say nothing
 	DiscoverySlow   Trouble = "discovery_slow"   // each call waits
+	DiscoveryCrowd  Trouble = "discovery_crowd"  // calls wait and fail, watches tell late
 	WatchesEnd      Trouble = "watches_end"      // all watches end in order
+	Away            Trouble = "away"             // a backend is away, told to be gone, and comes back cold under its id
+	Signals         Trouble = "signals"          // SIGHUP, SIGTERM, SIGHUP to one proxy after another
+	Crowd           Trouble = "crowd"            // idle clients fill a proxy's descriptors
 	Drain           Trouble = "drain"            // a backend is told to be leaving, then gone, then another comes
 	Hang            Trouble = "hang"             // a backend reads and does not answer
 	Restart         Trouble = "restart"          // a backend's connections are reset, it comes back cold
@@ -35,6 +39,7 @@
 var troubles = []Trouble{
 	Terminate, Kill, Pause, Reload, DiscoveryDown, DiscoverySilent, DiscoverySlow, WatchesEnd, Drain, Drain, Hang,
 	Restart, Reset, Errors, Full, HalfAnswers, IdleCloses, Leavers, BadClients, Terminate,
+	DiscoveryCrowd, DiscoveryCrowd, Away, Away, Signals, Crowd,
 }
 
 // Event is one trouble.
@@ -73,6 +78,9 @@
 					e.Span = 2 * time.Second
 				}
 			}
+			if e.Kind == DiscoveryCrowd { // long enough for what it does not tell to count
+				e.Span += 5 * time.Second
+			}
 			events = append(events, e)
 		}
 		at += 400*time.Millisecond + time.Duration(rng.Int64N(int64(1800*time.Millisecond)))
