Tests: needs by size are those of the program as it ships, not of a race build

TestNeedsBySize was known to fail: 0.69 s of processor time at 3,200 known backends, 0.66 at most. Traced: with no calls at all the race build needs 0.208 s at 3,200 and 0.053 s at 200, with 1,000 calls 0.724 and 0.553: the calls differ by 0.016 s, the start by 0.155. Reading the list is what the detector makes ten times as dear (15 ms for a start with 3,200 entries without it, a profile of proxy.New).

--- a/cmd/oxbowloft/size_test.go
+++ b/cmd/oxbowloft/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -19,9 +20,9 @@
 	opened   int // connections to backends
 }
 
-// needsFor runs the program with so many known backends, one balancer among so many, and
+// needsFor runs a built program with so many known backends, one balancer among so many, and
 // makes calls; it returns what the process needed.
-func needsFor(t *testing.T, known, balancers, calls int) needs {
+func needsFor(t *testing.T, program string, known, balancers, calls int) needs {
 	t.Helper()
 	const listeners = 8 // known backends share their addresses
 	var behind []*standin.Backend
@@ -40,7 +41,9 @@
 		return strings.Replace(text, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, balancers), 1)
 	}
 	d := standin.NewDiscovery(t, standin.List(1, false))
-	r := startWithConfig(t, many, d.Addr(), 512, standin.List(1, true, targets...))
+	addr := freeAddr(t)
+	config := writeConfig(t, many(addr, d.Addr(), 512, standin.List(1, true, targets...)))
+	r := startCommand(t, exec.Command(program, "serve", "--grace", "20ms", config), addr)
 	c := r.dial()
 	for i := range calls {
 		if got := c.roundTrip(getRequest(2000)); got.status != 200 {
@@ -87,7 +90,8 @@
 // row by row, as far as one process shows it.
 func TestNeedsBySize(t *testing.T) {
 	const calls = 1000
-	usual, large := needsFor(t, 200, 300, calls), needsFor(t, 3200, 900, calls)
+	program := buildPlain(t)
+	usual, large := needsFor(t, program, 200, 300, calls), needsFor(t, program, 3200, 900, calls)
 	t.Logf("200 backends: %+v; 3,200: %+v", usual, large)
 	const thousands = 3.2
 	if most := 1.4*usual.cpu.Seconds() + 0.02 + 0.03*thousands; large.cpu.Seconds() > most {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -85,6 +85,35 @@
 		}
 		at += 400*time.Millisecond + time.Duration(rng.Int64N(int64(1800*time.Millisecond)))
 	}
+	if plan.Length >= staleListSpan+2*quiet && rng.IntN(2) == 0 {
+		events = append(events, staleLists(rng, plan)...)
+	}
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
 	return events
 }
+
+// staleListSpan is how long discovery tells nothing in a group of staleLists: longer than it
+// takes for what it does not tell to count.
+const staleListSpan = tellWithin + 4*time.Second
+
+// staleLists is a group of troubles in which lists get old: discovery is crowded, backends are
+// away and come back, watches are reset or stand, and processes start with the list that they
+// had last.
+func staleLists(rng *rand.Rand, plan *Plan) []Event {
+	begin := quiet + time.Duration(rng.Int64N(int64(plan.Length-staleListSpan-2*quiet)+1))
+	after := func(least, most time.Duration) time.Duration {
+		return begin + least + time.Duration(rng.Int64N(int64(most-least)))
+	}
+	events := []Event{{At: begin, Kind: DiscoveryCrowd, Span: staleListSpan}}
+	if rng.IntN(2) == 0 {
+		events = append(events, Event{At: begin + 100*time.Millisecond, Kind: DiscoveryDown, Span: 200 * time.Millisecond})
+	}
+	for range 2 {
+		events = append(events, Event{At: after(200*time.Millisecond, 800*time.Millisecond), Kind: Away,
+			Target: rng.IntN(1 << 16), Span: 1500 * time.Millisecond})
+	}
+	for range 3 {
+		events = append(events, Event{At: after(2*time.Second, 5*time.Second), Kind: Kill, Target: rng.IntN(1 << 16)})
+	}
+	return events
+}
