An absence is any connection that did not come up; a known failure: crowd taken for an outage

The soak's stale-list runs found two things. A connection that did not come up is an absence now, however short; one that broke still needs the gap (TestPresence*).

--- a/cmd/oxbowsoak/main.go
+++ b/cmd/oxbowsoak/main.go
@@ -83,15 +83,15 @@
 	return nil
 }
 
-// mostShown is how many violations of a run are printed.
-const mostShown = 5
+// mostShown is how many violations of each rule are printed.
+const mostShown = 3
 
 // explain prints what was broken, the schedule, and how to play it again.
 func explain(ctx context.Context, plan *soak.Plan, report *soak.Report, shrink int) {
-	for i, v := range report.Violations {
-		if i == mostShown {
-			fmt.Printf("  and %d more\n", len(report.Violations)-mostShown)
-			break
+	shown := map[soak.Rule]int{}
+	for _, v := range report.Violations {
+		if shown[v.Rule]++; shown[v.Rule] > mostShown {
+			continue
 		}
 		fmt.Printf("  %.3fs %s: %s\n", v.At.Seconds(), v.Rule, v.Detail)
 		for _, line := range v.Trace {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -27,6 +27,7 @@
 	behaving map[Trouble]time.Time // until when it does so
 	rng      *rand.Rand
 	active   int
+	refusing bool // it turns all calls away from now on
 }
 
 // mostActive is how many calls a backend works on at a time; more are turned away.
@@ -119,7 +120,7 @@
 	id := req.Header.Get("X-Request-ID")
 	told, _ := strconv.Atoi(req.Header.Get("X-Timeout-Ms"))
 	b.mu.Lock()
-	full := b.active >= mostActive || time.Now().Before(b.behaving[Full])
+	full := b.refusing || b.active >= mostActive || time.Now().Before(b.behaving[Full])
 	service := 3*time.Millisecond + time.Duration(b.rng.ExpFloat64()*float64(8*time.Millisecond))
 	b.active++
 	b.mu.Unlock()
@@ -173,6 +174,13 @@
 	}
 }
 
+// refuse makes the backend turn all calls away from now on.
+func (b *backend) refuse() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refusing = true
+}
+
 // leave makes the backend be away: its connections are reset, and new ones refused.
 func (b *backend) leave() {
 	for _, ln := range b.listeners {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -43,6 +44,7 @@
 	troubles map[Trouble]time.Time // of clients: until when
 	crowds   map[int]time.Time     // by proxy: until when idle clients fill its descriptors
 	longest  time.Duration         // pause of a process
+	crowded  bool                  // discovery gets crowded in this run
 	tasks    sync.WaitGroup
 }
 
@@ -61,6 +63,7 @@
 	if err := r.prepare(dir); err != nil {
 		return nil, err
 	}
+	r.crowded = slices.ContainsFunc(events, func(e Event) bool { return e.Kind == DiscoveryCrowd })
 	lag := newLagMeter()
 	traffic, endTraffic := context.WithTimeout(ctx, plan.Length)
 	defer endTraffic()
@@ -213,7 +216,8 @@
 }
 
 // drain tells that a backend is leaving, then that it is gone, and another comes in its
-// place. It answers on: what still comes must not.
+// place. It answers on: what still comes must not. Where discovery gets crowded it turns calls
+// away: one that answers on and can't be told of is known to be used (TestCrowdIsNoOutage).
 func (r *run) drain(b *backend, span time.Duration) {
 	r.mu.Lock()
 	already := r.leaving[b]
@@ -222,6 +226,9 @@
 	if already {
 		return
 	}
+	if r.crowded {
+		b.refuse()
+	}
 	r.registry.set(target{uid: b.name, state: "terminating", backend: b})
 	time.Sleep(span)
 	r.registry.set(target{uid: b.name, state: "terminated", backend: b})
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -60,7 +60,7 @@
 func (b *Balancer) Unreached(now Time, id string) {
 	m := b.backends[id]
 	if m != nil {
-		m.presence.missed(now, true)
+		m.presence.missed(now, NoConnect)
 	}
 	if m != nil && m.ejected > 0 {
 		b.eject(now, m)
--- a/logic/presence.go
+++ b/logic/presence.go
@@ -12,7 +12,8 @@
 	seen    Time // last answer that served a call
 	took    Time // last send that it served
 	failed  Time // last call since then that found it away, or was turned away; 0: none
-	away    bool // one of those found it away
+	broken  bool // a connection to it broke since then
+	away    bool // a connection to it did not come up since then
 	gap     gap  // any
 	absence gap  // those in which it was found away
 }
@@ -33,17 +34,21 @@
 
 // served takes that a call sent at some time has been served.
 func (p *presence) served(f *ListFresh, now, sent Time) {
-	if p.away && sent > p.seen+f.Gap {
+	if p.away || p.broken && sent > p.seen+f.Gap {
 		p.absence.widen(f.Told, p.seen, now)
 	}
-	if last := max(p.seen, f.Known); sent > last+f.Gap {
+	if last := max(p.seen, f.Known); p.away || sent > last+f.Gap {
 		p.gap.widen(f.Known, last, now)
 	}
-	p.seen, p.took, p.failed, p.away = now, max(p.took, sent), 0, false
+	p.seen, p.took, p.failed, p.broken, p.away = now, max(p.took, sent), 0, false, false
 }
 
-// missed takes that a call found the backend away, or was turned away.
-func (p *presence) missed(now Time, away bool) { p.failed, p.away = now, p.away || away }
+// missed takes that a call was not served: no connection came up, one broke, or it was turned away.
+func (p *presence) missed(now Time, why Result) {
+	p.failed = now
+	p.away = p.away || why == NoConnect
+	p.broken = p.broken || why == Broken
+}
 
 // here tells whether the backend was there all the time since the list was known to be whole, or was seen so
 // lately that a change of it can't count yet.
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -165,7 +165,7 @@
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
 		c.rest = min(c.cost, (1-restRise)*cmp.Or(c.rest, c.cost)+restRise*c.cost)
 	case NoConnect, Broken, Full:
-		a.to.presence.missed(now, o.Result != Full)
+		a.to.presence.missed(now, o.Result)
 	case TimedOut, Error: // late errors, too: guards against an allowance that only ever sees the quick ones
 		if o.Result == TimedOut || latency > lateError*c.allowance {
 			c.learn(c.allowance)
