--- /dev/null
+++ b/internal/discovery/check_test.go
@@ -0,0 +1,110 @@
+package discovery_test
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oxbowloft/internal/discovery"
+)
+
+// checkedClient is a client with checks, and what it has told.
+type checkedClient struct {
+	*discovery.Client
+	source *source
+
+	mu    sync.Mutex
+	calls int
+	revs  []int64
+	fresh discovery.Fresh
+	ends  int
+}
+
+func newCheckedClient() *checkedClient {
+	c := &checkedClient{Client: discovery.New("127.0.0.1:80", 3, byHand{}), source: &source{}}
+	c.CheckEvery = 10 * sec
+	c.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c.mu.Lock()
+		c.calls++
+		c.mu.Unlock()
+		return c.source.dial(ctx, network, addr)
+	}
+	c.OnList = func(l *discovery.List) { c.mu.Lock(); c.revs = append(c.revs, l.Rev); c.mu.Unlock() }
+	c.OnFresh = func(f discovery.Fresh) { c.mu.Lock(); c.fresh = f; c.mu.Unlock() }
+	c.OnEnd = func(discovery.End) { c.mu.Lock(); c.ends++; c.mu.Unlock() }
+	return c
+}
+
+// seen is what has come of it so far.
+func (c *checkedClient) seen() (calls, lists, ends int, fresh discovery.Fresh) {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls, len(c.revs), c.ends, c.fresh
+}
+
+// live writes signs of life to the watch that stands, for a time.
+func (c *checkedClient) live(watch net.Conn, span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(sec) {
+		io.WriteString(watch, "1\r\n\n\r\n")
+	}
+}
+
+// A check brings the list as it is now beside a watch that stands and is late: once in a
+// while at most, and never where no watch stands, as calls are being made for one then. One
+// that is turned away leaves the watch, and for how long the list may be used, as they are.
+func TestCheck(t *testing.T) {
+	log.SetOutput(io.Discard)
+	defer log.SetOutput(os.Stderr)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCheckedClient()
+		c.source.set(lists(5))
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan bool)
+		go func() { defer close(done); c.Run(ctx) }()
+		defer func() { stop(); <-done }()
+		c.Check()
+		time.Sleep(6 * sec)
+		if calls, _, _, _ := c.seen(); calls != 0 {
+			t.Errorf("%d calls, checks without a watch", calls)
+		}
+		time.Sleep(6 * sec)
+
+		c.Ask()
+		synctest.Wait()
+		watch := c.source.last
+		c.source.set(lists(6))
+		_, _, _, before := c.seen()
+		c.Check()
+		c.Check()
+		c.live(watch, 6*sec)
+		calls, got, ends, fresh := c.seen()
+		if calls != 2 || got != 2 || ends != 0 {
+			t.Errorf("%d calls, %d lists, %d ends; want the watch, one check, and no end", calls, got, ends)
+		}
+		if !fresh.Told.After(before.Told) {
+			t.Error("the check's list is not told")
+		}
+
+		c.source.set(busy)
+		c.Check()
+		c.live(watch, 2*sec)
+		if calls, _, _, _ := c.seen(); calls != 2 {
+			t.Errorf("%d calls, a check right behind another", calls)
+		}
+		c.live(watch, 16*sec)
+		calls, got, ends, after := c.seen()
+		if calls != 3 || got != 2 || ends != 0 {
+			t.Errorf("%d calls, %d lists, %d ends; want a check that is turned away, and the watch as it was", calls, got, ends)
+		}
+		if after.Told != fresh.Told || !after.Until.After(time.Now().Add(4*sec)) {
+			t.Errorf("told at %v before, %v after; fresh for %v", fresh.Told, after.Told, time.Until(after.Until))
+		}
+	})
+}
