--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,90 +18,6 @@
 	"oxbowloft/internal/neterror"
 )
 
-// List is a whole list, or the entries that changed.
-type List struct {
-	Rev     int64
-	All     bool
-	Targets []Target
-	// Before is when discovery last told, by a list or a sign of life, that the list before
-	// this one was whole; zero: it has told nothing yet.
-	Before time.Time
-}
-
-// Target is one entry of a list.
-type Target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Cell     int     `json:"pod_group"`
-	State    string  `json:"state"`
-	Size     float64 `json:"capacity_hint"`
-	Boot     int64   `json:"boot_ms"` // Unix time in milliseconds; 0: long ago
-}
-
-// The states of a target.
-const (
-	InService   = "in_service"
-	Terminating = "terminating"
-	Terminated  = "terminated"
-)
-
-// Parse reads one list and makes sure that it can be used as a whole.
-func Parse(line []byte) (*List, error) {
-	var l struct {
-		Rev     *int64    `json:"rev"`
-		All     bool      `json:"all"`
-		Targets *[]Target `json:"targets"`
-	}
-	if err := json.Unmarshal(line, &l); err != nil {
-		return nil, err
-	}
-	if l.Rev == nil || l.Targets == nil {
-		return nil, errors.New("no rev or no targets")
-	}
-	for i, t := range *l.Targets {
-		if err := t.check(); err != nil {
-			return nil, fmt.Errorf("target %d: %w", i, err)
-		}
-	}
-	return &List{Rev: *l.Rev, All: l.All, Targets: *l.Targets}, nil
-}
-
-func (t *Target) check() error {
-	if t.UID == "" {
-		return errors.New("no uid")
-	}
-	switch t.State {
-	case InService, Terminating:
-		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil {
-			return fmt.Errorf("endpoint: %w", err)
-		}
-	case Terminated:
-	default:
-		return fmt.Errorf("unknown state %q", t.State)
-	}
-	return nil
-}
-
-// Failure says how a call or a watch came to its end.
-type Failure int
-
-// The failures. Only a call that is turned away tells that discovery has too much to do:
-// by the protocol one that waits too long ends with an answer or a reset, so that one with
-// neither has met a machine or a network that is silent.
-const (
-	TurnedAway Failure = iota // answered, but with no list
-	Unreached                 // no connection, or it ended before an answer
-	Silent                    // no answer, or no sign of life on a watch, in time
-	Ended                     // a watch that stood ended, or brought what can't be used
-	Local                     // this machine could not make the call, which says nothing of discovery
-)
-
-// String is the failure's word in the log.
-func (f Failure) String() string {
-	return [...]string{"turned_away", "unreached", "silent", "ended", "local"}[f]
-}
-
 const (
 	dialLimit = 2 * time.Second
 	// lifeEvery is how often, by the protocol, a watch that has nothing to tell shows
@@ -432,23 +348,6 @@
 	return failure(err, Ended), err
 }
 
-// dialFailure is how a call failed that got no connection.
-func dialFailure(err error) Failure {
-	if neterror.Of(neterror.Dial, err) == neterror.Local {
-		return Local
-	}
-	return Unreached
-}
-
-// failure is Silent for what ran out of time here or in the network, and else other.
-func failure(err error, other Failure) Failure {
-	switch neterror.Of(neterror.Read, err) {
-	case neterror.Deadline, neterror.Lost:
-		return Silent
-	}
-	return other
-}
-
 // follow reads the lists of a watch of a source, however they are laid out; alive is called
 // with whatever comes. It tells whether there was a list that is in use, and how the watch
 // ended.
@@ -485,41 +384,3 @@
 		}
 	}
 }
-
-// stream is the body of a watch without its line ends. JSON has none inside of strings and
-// needs none between values, and the empty lines of a watch that stands for months would
-// pile up in the decoder until the next list.
-type stream struct {
-	r     io.Reader
-	alive func()
-	idle  func() // called with a line end alone where no list has begun: a sign of life
-	left  int    // bytes that the list may still have
-	begun bool
-}
-
-// Read implements io.Reader.
-func (s *stream) Read(p []byte) (int, error) {
-	for {
-		n, err := s.r.Read(p)
-		if n > 0 {
-			s.alive()
-		}
-		kept := p[:0]
-		for _, c := range p[:n] {
-			if c != '\n' && c != '\r' {
-				kept = append(kept, c)
-			}
-		}
-		if s.left -= len(kept); s.left < 0 {
-			return 0, fmt.Errorf("over %d bytes", maxList)
-		}
-		if len(kept) > 0 {
-			s.begun = true
-		} else if n > 0 && !s.begun {
-			s.idle()
-		}
-		if len(kept) > 0 || err != nil {
-			return len(kept), err
-		}
-	}
-}
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -29,9 +29,10 @@
 	TellsLate bool
 }
 
-// Gap is how long a backend may go unseen and still be taken for there all the time. One that
-// is away for less comes back before discovery could have listed it as gone: a sign of life
-// is as far from the next.
+// Gap is how long a backend may go unseen, with no call that found it away, and still be taken
+// for there all the time: as long as a watch goes without a sign of life. One that is away for
+// less and gets no call meanwhile passes for one that was not; with a shorter gap, those that
+// get a call now and then would pass for having been away.
 const Gap = lifeEvery
 
 // freshness keeps for how long a list may be used. docs/design.md has a table of the bounds
