--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -31,7 +31,7 @@
 	wakes    map[uint64]*request
 	token    uint64
 	fresh    ListFresh
-	doubts   bool          // a backend has been passed over for want of a list
+	doubts   bool          // a backend needs a list to be used
 	patience time.Duration // first ejection
 
 	open          float64 // the limit on calls in flight, as a multiple of the base
@@ -183,6 +183,7 @@
 		b.again(now, q, a)
 	}
 	b.forget(q)
+	b.askList()
 }
 
 // Connected tells whether an attempt still holds once its connection stands: a dial may outlast a drain.
--- a/logic/list.go
+++ b/logic/list.go
@@ -24,7 +24,7 @@
 	return true
 }
 
-// askList asks for a list where a backend has been passed over for want of one.
+// askList asks for a list where a backend has been passed over for want of one, or would be before long.
 func (b *Balancer) askList() {
 	if b.doubts && b.lister != nil {
 		b.lister.AskList()
--- a/logic/presence.go
+++ b/logic/presence.go
@@ -32,15 +32,17 @@
 	g.at = at
 }
 
-// served takes that a call sent at some time has been served.
-func (p *presence) served(f *ListFresh, now, sent Time) {
-	if p.away || p.broken && sent > p.seen+f.Gap {
+// served takes that a call sent at some time has been served, and tells whether the backend was away before.
+func (p *presence) served(f *ListFresh, now, sent Time) (wasAway bool) {
+	wasAway = p.away || p.broken && sent > p.seen+f.Gap
+	if wasAway {
 		p.absence.widen(f.Told, p.seen, now)
 	}
 	if last := max(p.seen, f.Known); p.away || sent > last+f.Gap {
 		p.gap.widen(f.Known, last, now)
 	}
 	p.seen, p.took, p.failed, p.broken, p.away = now, max(p.took, sent), 0, false, false
+	return wasAway
 }
 
 // missed takes that a call was not served: no connection came up, one broke, or it was turned away.
--- a/logic/presence_test.go
+++ b/logic/presence_test.go
@@ -9,7 +9,7 @@
 type presenceRun struct {
 	t      *testing.T
 	b      *Balancer
-	f      *fake
+	f      *asker
 	serial int
 }
 
@@ -26,7 +26,7 @@
 	b := New(0, testSettings(), a)
 	b.List(0, true, []Backend{line("b", 0)})
 	b.setLimit(10)
-	return &presenceRun{t: t, b: b, f: a.fake}, a
+	return &presenceRun{t: t, b: b, f: a}, a
 }
 
 // call sends a call at a time, if it is let out, which ends so a moment later.
@@ -133,6 +133,9 @@
 			if r.calls(14000*ms, 16000*ms, OK) == 0 {
 				r.t.Error("not used though no change of it can count yet")
 			}
+			if r.f.lists == 0 {
+				r.t.Error("no list asked for with its return")
+			}
 		}, false, false},
 		{"away for a while, lists pushed", func(r *presenceRun) {
 			r.calls(10000*ms, 11000*ms, OK)
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -159,7 +159,9 @@
 	switch o.Result {
 	case OK:
 		a.to.used = now
-		a.to.presence.served(&b.fresh, now, a.sent)
+		if a.to.presence.served(&b.fresh, now, a.sent) && b.fresh.TellsLate { // a list by the time it is doubted
+			b.doubts = true
+		}
 		c.learn(latency)
 		c.answers++ // the first ones count for more: what cost began with is no latency
 		c.cost += max(meanWeight, 1/c.answers) * (latency - c.cost)
