--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -96,10 +96,12 @@
 // connection is sent once more on a new one.
 func (c *client) ask() {
 	id, class, budget := c.draw()
+	began := time.Now()
 	for again := range 2 {
 		if !c.connect() {
 			return
 		}
+		proxy, generation := c.proxy, c.run.generation(c.proxy)
 		err := c.exchange(id, class, budget, again == 0)
 		if err == nil {
 			return
@@ -108,6 +110,10 @@
 		if !errors.Is(err, errSentAgain) {
 			return
 		}
+		if time.Since(began) > budget+answerSlack { // nobody waits for it any more: no proxy has answered in time
+			c.run.book.Lost(id, "closed unread after its time", c.run.excuse(proxy, generation, false))
+			return
+		}
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -194,7 +194,7 @@
 	})
 	select {
 	case <-exited:
-	case <-time.After(killAfter(p.run.classes) + p.run.pauseSlack()):
+	case <-p.killTime():
 		// What it still has is lost, as its clients tell. It must at least be about to end.
 		if !p.finishing() {
 			p.run.book.Breach(RuleCrash, fmt.Sprintf("proxy %d goes on %v after SIGTERM", p.number, killAfter(p.run.classes)))
@@ -245,6 +245,16 @@
 	}
 }
 
+// killTime is closed when the platform kills a process that is told to end now. Pauses meanwhile
+// put it off: a process that is stopped can't end.
+func (p *process) killTime() <-chan struct{} {
+	over := make(chan struct{})
+	time.AfterFunc(killAfter(p.run.classes), func() {
+		time.AfterFunc(p.run.pauseSlack(), func() { close(over) })
+	})
+	return over
+}
+
 // finishing tells whether the process has come to the last phase of its end.
 func (p *process) finishing() bool {
 	text, err := os.ReadFile(p.logPath())
