--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -215,15 +215,20 @@
 	}
 }
 
+// beginLeaving notes that a backend is no longer in service, and tells whether it was.
+func (r *run) beginLeaving(b *backend) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := !r.leaving[b]
+	r.leaving[b] = true
+	return was
+}
+
 // drain tells that a backend is leaving, then that it is gone, and another comes in its
 // place. It answers on: what still comes must not. Where discovery gets crowded it turns calls
 // away: one that answers on and can't be told of is known to be used (TestCrowdIsNoOutage).
 func (r *run) drain(b *backend, span time.Duration) {
-	r.mu.Lock()
-	already := r.leaving[b]
-	r.leaving[b] = true
-	r.mu.Unlock()
-	if already {
+	if !r.beginLeaving(b) {
 		return
 	}
 	if r.crowded {
@@ -253,11 +258,7 @@
 // away makes a backend be away for a time, through which discovery has it as gone. It comes
 // back cold under its id, and serves before discovery says so.
 func (r *run) away(b *backend, span time.Duration) {
-	r.mu.Lock()
-	already := r.leaving[b]
-	r.leaving[b] = true
-	r.mu.Unlock()
-	if already {
+	if !r.beginLeaving(b) {
 		return
 	}
 	b.leave()
--- a/logic/api.go
+++ b/logic/api.go
@@ -87,7 +87,7 @@
 	Until        Time          // it holds all that counts as told until then; 0: for ever
 	UntilServing Time          // as far as it may be used, by what has served a call
 	Serving      time.Duration // that was sent within this time
-	Known        Time          // discovery last told, by a list or a sign of life, that it was whole; 0: never
+	Known        Time          // a list or a sign of life last told that it was whole; 0: never
 	Told         Time          // the last list came; 0: never
 	TellsLate    bool          // changes may wait while a watch shows signs of life
 	Gap          time.Duration // a backend not seen for longer may have been listed as gone meanwhile
--- a/logic/list_test.go
+++ b/logic/list_test.go
@@ -98,7 +98,8 @@
 	}
 	// Discovery can't be reached: what has served a call is used, for as long as it goes on
 	// serving and no longer than the time that is given.
-	b.ListFresh(ListFresh{Until: 36100 * ms, UntilServing: 44000 * ms, Serving: 1000 * ms, Known: 36000 * ms, Gap: 2000 * ms})
+	b.ListFresh(ListFresh{Until: 36100 * ms, UntilServing: 44000 * ms, Serving: 1000 * ms,
+		Known: 36000 * ms, Gap: 2000 * ms})
 	none("it has served nothing yet", 36150*ms)
 	b.Done(36200*ms, Outcome{Request: first, Result: OK, Latency: 100 * ms, Final: true})
 	for _, at := range []Time{36300 * ms, 36990 * ms} {
--- a/logic/presence.go
+++ b/logic/presence.go
@@ -1,9 +1,9 @@
 // Presence: what calls prove of a backend while the list may lack news of it.
 //
-// A change that discovery has and has not told counts some time after it was made, so that what matters is since
-// when a backend may have been drained or gone. One that serves a call was neither when the call was sent. One
-// that was away for a while, or may have been, can have been listed as gone meanwhile: that it serves again
-// proves nothing of that, only a list does.
+// A change that discovery has and has not told counts some time after it was made, so that what matters is
+// since when a backend may have been drained or gone. One that serves a call was neither when the call was
+// sent. One that was away for a while, or may have been, can have been listed as gone meanwhile: that it
+// serves again proves nothing of that, only a list does.
 
 package logic
 
@@ -32,7 +32,8 @@
 	g.at = at
 }
 
-// served takes that a call sent at some time has been served, and tells whether the backend was away before.
+// served takes that a call sent at some time has been served, and tells whether the backend was away
+// before.
 func (p *presence) served(f *ListFresh, now, sent Time) (wasAway bool) {
 	wasAway = p.away || p.broken && sent > p.seen+f.Gap
 	if wasAway {
@@ -52,8 +53,8 @@
 	p.broken = p.broken || why == Broken
 }
 
-// here tells whether the backend was there all the time since the list was known to be whole, or was seen so
-// lately that a change of it can't count yet.
+// here tells whether the backend was there all the time since the list was known to be whole, or was seen
+// so lately that a change of it can't count yet.
 func (p *presence) here(f *ListFresh, now Time) bool {
 	if now >= p.took+f.Serving {
 		return false
@@ -61,8 +62,8 @@
 	return p.gap.at <= f.Known || now < p.gap.from+f.Serving
 }
 
-// doubtful tells whether a backend may have been listed as gone since the last list that was told, so long ago
-// that it counts: a watch that stands proves no more than that it stands.
+// doubtful tells whether a backend may have been listed as gone since the last list that was told, so long
+// ago that it counts: a watch that stands proves no more than that it stands.
 func (p *presence) doubtful(f *ListFresh, now Time) bool {
 	if p.failed > f.Told && now >= max(p.seen, f.Told)+f.Serving {
 		return true
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -159,8 +159,8 @@
 	switch o.Result {
 	case OK:
 		a.to.used = now
-		if a.to.presence.served(&b.fresh, now, a.sent) && b.fresh.TellsLate { // a list by the time it is doubted
-			b.doubts = true
+		if a.to.presence.served(&b.fresh, now, a.sent) && b.fresh.TellsLate {
+			b.doubts = true // to have a list by the time at which it would be passed over
 		}
 		c.learn(latency)
 		c.answers++ // the first ones count for more: what cost began with is no latency
