Backends are doubted only where there has been a list, and somebody who may have more

Traced: where nobody is at discovery's address from the start on no list has come, so that the time of the last one is zero and each backend that failed to connect once was doubted at once, and for as long as nobody is there: the test asked until descriptors ran out. Now TellsLate holds where there has been a list and the last call was not refused (TestTellsLate). go test -race ./proxy -run 'TestLocalDialBlamesNobody|TestSlowDial' -count=2: passed.

--- a/internal/discovery/fresh_test.go
+++ b/internal/discovery/fresh_test.go
@@ -354,3 +354,40 @@
 		})
 	}
 }
+
+// Changes may wait to be told where there has been a list and somebody may have more to tell:
+// guards against backends that are doubted, and stay so, where nobody is there to ask.
+func TestTellsLate(t *testing.T) {
+	log.SetOutput(io.Discard)
+	defer log.SetOutput(os.Stderr)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCheckedClient()
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan bool)
+		go func() { defer close(done); c.Run(ctx) }()
+		for _, step := range []struct {
+			name   string
+			answer func(net.Conn)
+			late   bool
+		}{
+			{"nobody from the start on", nil, false},
+			{"a list", lists(5), true},
+			{"reset, then nobody", nil, false},
+			{"turned away", busy, true},
+			{"a list again", lists(5), true},
+		} {
+			c.source.set(step.answer)
+			if step.name == "reset, then nobody" {
+				c.source.reset()
+				synctest.Wait()
+			}
+			c.Ask()
+			if _, _, _, fresh := c.seen(); fresh.TellsLate != step.late {
+				t.Errorf("%s: tells late %t, want %t", step.name, fresh.TellsLate, step.late)
+			}
+		}
+		stop()
+		<-done
+		c.source.last.Close()
+	})
+}
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -25,7 +25,8 @@
 	// and Told when the last list came; zero: not since the start.
 	Known time.Time
 	Told  time.Time
-	// TellsLate says that changes may wait to be told while a watch shows signs of life.
+	// TellsLate says that changes may wait to be told: there has been a list, and somebody who
+	// may have more to tell.
 	TellsLate bool
 }
 
@@ -57,12 +58,13 @@
 	cut     time.Time // last time that discovery could not be reached; zero: never
 	deaf    bool      // discovery has been silent, or has moved: it may have told others of changes
 	reached bool      // something of discovery has met a call in this life: it may have told others
+	nobody  bool      // the last call was refused: nobody is there who could have something to tell
 }
 
 // now is for how long the list may be used.
 func (f *freshness) now() Fresh {
 	now := Fresh{Until: f.until, UntilServing: f.until, Serving: f.serving,
-		Known: f.heard, Told: f.listed, TellsLate: !f.pushed}
+		Known: f.heard, Told: f.listed, TellsLate: !f.pushed && !f.nobody && !f.listed.IsZero()}
 	if reached := f.cut.Add(TellWithin); !f.cut.IsZero() && !f.deaf && reached.After(f.until) {
 		now.UntilServing = reached
 	}
@@ -120,6 +122,7 @@
 // of life proves that discovery goes on telling, not that no change waits its turn.
 func (f *freshness) told(now time.Time) {
 	f.word, f.heard, f.ended, f.cut, f.deaf, f.reached = now, now, time.Time{}, time.Time{}, false, true
+	f.nobody = false
 	f.extend(now.Add(TellWithin))
 }
 
@@ -128,7 +131,7 @@
 // does so already goes on doing so, so that a list that is stale stays it. The list of the
 // start is taken for whole where there has been nobody from the start on.
 func (f *freshness) refused(now time.Time) {
-	f.cut = now
+	f.cut, f.nobody = now, true
 	if f.pushed {
 		f.limit(now.Add(f.unfollowed))
 	}
@@ -150,7 +153,7 @@
 // discovery could not be reached or had too much to do. What it may have missed counts as
 // told by the clock as it is; where lists are pushed, what there is counts at once.
 func (f *freshness) callFailed(now time.Time) {
-	f.cut, f.reached = now, true
+	f.cut, f.reached, f.nobody = now, true, false
 	if f.pushed {
 		f.limit(now.Add(f.unfollowed))
 	}
@@ -158,7 +161,7 @@
 
 // silent takes that a call or a watch fell silent, which moves nothing: what it misses counts
 // as told by the last word before it, also where lists are pushed.
-func (f *freshness) silent(time.Time) { f.deaf, f.reached = true, true }
+func (f *freshness) silent(time.Time) { f.deaf, f.reached, f.nobody = true, true, false }
 
 // moved takes that a new configuration has named another source.
 func (f *freshness) moved(now time.Time) {
