--- /dev/null
+++ b/proxy/attemptlog_test.go
@@ -0,0 +1,45 @@
+package proxy
+
+import (
+	"io"
+	"log"
+	"strings"
+	"testing"
+	"time"
+
+	"oxbowloft/internal/discovery"
+	"oxbowloft/internal/standin"
+	"oxbowloft/logic"
+)
+
+// An attempt that goes out past the list's time is logged with its outcome, and no other is.
+func TestStaleAttemptIsLogged(t *testing.T) {
+	var text logged
+	log.SetOutput(&text)
+	defer log.SetOutput(io.Discard)
+	p := listening(t, standin.List(1, true, standin.Target("s-1", "127.0.0.1:1")), "127.0.0.1:1")
+	defer p.listener.Close()
+	attempt := func(id string, result logic.Result) {
+		r := p.driver.arrive(id, 0, time.Second, false, false)
+		s := <-r.steps
+		if s.kind != stepSend || !p.driver.connected(r, s) {
+			t.Fatalf("%s is not sent", id)
+		}
+		p.driver.done(r, s, result, true, false)
+		p.driver.forget(r)
+	}
+	now := time.Now()
+	fresh := discovery.Fresh{Until: now.Add(time.Hour), UntilServing: now.Add(time.Hour), Serving: time.Hour, Known: now, Told: now}
+	p.driver.listFresh(fresh)
+	attempt("in-time", logic.OK)
+	fresh.Until = time.Now()
+	p.driver.listFresh(fresh)
+	attempt("past", logic.Full)
+	lines := string(text.bytes())
+	if strings.Contains(lines, `id="in-time"`) {
+		t.Error("an attempt within the list's time is logged")
+	}
+	if !strings.Contains(lines, `event=stale_attempt id="past" uid=s-1 past_ms=0`) || !strings.Contains(lines, "result=full") {
+		t.Errorf("no line of the attempt past it in\n%s", lines)
+	}
+}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -37,7 +37,9 @@
 	current  *call // whose outcome the module is handling
 
 	violations  *violations
-	standingLog logging.Limit   // of backends whose standing changes
+	standingLog logging.Limit // of backends whose standing changes
+	staleLog    *staleAttemptLog
+	listUntil   logic.Time      // the list holds all that counts as told until then; 0: nothing is known of it
 	byHandOut   map[string]bool // detached by operators
 }
 
@@ -62,6 +64,7 @@
 	sends  int
 	cancel func()      // gives up the attempt sent last
 	begun  bool        // that attempt is being written, or has been
+	past   logic.Time  // how long past the list's time it began; 0: it did not
 	left   bool        // its client has: the step that says so is out
 	steps  chan step   // room for one step and the client's going
 	timer  *time.Timer // of its backoff
@@ -105,6 +108,7 @@
 
 		violations:  newViolations(),
 		standingLog: logging.Limit{Every: standingEvery, Burst: 20},
+		staleLog:    newStaleAttemptLog(),
 		byHandOut:   map[string]bool{},
 	}
 	opt.Unreached = d.unreached
@@ -163,6 +167,9 @@
 		yes = d.backends[s.uid].Backend == s.to && d.balancer.Connected(now, r.id)
 		yes = yes && d.mayStart(r) && d.maySend(r, s) && !s.withheld
 		r.begun = yes
+		if yes && d.listUntil != 0 {
+			r.past = max(0, now-d.listUntil)
+		}
 	})
 	return yes
 }
@@ -175,7 +182,9 @@
 // done reports the end of an attempt, and whether the request is spent. Unless it is
 // final, a step follows.
 func (d *driver) done(r *call, s step, result logic.Result, final, spent bool) {
+	var past time.Duration
 	d.do(func(now logic.Time) {
+		past, r.past = r.past, 0
 		d.current = r
 		defer func() { d.current = nil }()
 		r.ran = r.ran || mayHaveRun(result)
@@ -188,6 +197,9 @@
 			Spent:   spent,
 		})
 	})
+	if past > 0 {
+		d.staleLog.write(r, s, past, result)
+	}
 }
 
 // unreached reports that a connection to a backend has not come up at all, which no attempt
@@ -349,7 +361,10 @@
 		TellsLate:    f.TellsLate,
 		Gap:          discovery.Gap,
 	}
-	d.do(func(logic.Time) { d.balancer.ListFresh(fresh) })
+	d.do(func(logic.Time) {
+		d.listUntil = fresh.Until
+		d.balancer.ListFresh(fresh)
+	})
 }
 
 // all returns the backends there are.
