Tests: a draining backend that turns calls away counts as gone where discovery is crowded (red)

Symptom: a backend drains, answers on for 2.5 s and then turns all calls away, while calls for the list are turned away.

--- a/cmd/oxbowloft/stale_list_test.go
+++ b/cmd/oxbowloft/stale_list_test.go
@@ -17,26 +17,46 @@
 const (
 	// toldWithin is how long after discovery has had a change it counts as told.
 	toldWithin = 6 * time.Second
+	// answersOn is for how long a backend that drains answers on before it turns calls away.
+	answersOn = 2500 * time.Millisecond
 	// drainGrace is that of standin.Config, which gives none, and the protocol's slack.
 	drainGrace = 50 * time.Millisecond
 )
 
 // sendTimes is when a backend got each of its calls.
 type sendTimes struct {
-	mu    sync.Mutex
-	times []time.Time
+	mu          sync.Mutex
+	times       []time.Time
+	turnsAwayAt time.Time // from when on all calls are turned away; zero: none are
 }
 
-// reply answers a call with the backend's name, and notes its time.
+// reply answers a call with the backend's name, or turns it away, and notes its time.
 func (s *sendTimes) reply(name string) func(*standin.Call) {
 	return func(c *standin.Call) {
-		s.mu.Lock()
-		s.times = append(s.times, time.Now())
-		s.mu.Unlock()
+		if s.note() {
+			c.Reply(503, "full", "X-Not-Processed: 1")
+			return
+		}
 		c.Reply(200, name)
 	}
 }
 
+// note notes a call, and tells whether it is to be turned away.
+func (s *sendTimes) note() (turnedAway bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.times = append(s.times, now)
+	return !s.turnsAwayAt.IsZero() && now.After(s.turnsAwayAt)
+}
+
+// turnAway makes all calls be turned away from a time on.
+func (s *sendTimes) turnAway(from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnsAwayAt = from
+}
+
 // between is how many calls came from one time on and before another.
 func (s *sendTimes) between(from, to time.Time) (n int) {
 	s.mu.Lock()
@@ -159,6 +179,28 @@
 	}
 }
 
+// A backend drains, goes on answering for some seconds, and then turns calls away, while
+// discovery has too much to do to tell of it. Its going counts after six seconds, and it gets
+// nothing from then on. As found it got all the calls that came: what it had served counted for
+// six seconds, whatever it did afterwards. On a herd day of 380 processes 379 of 387 attempts
+// that came right behind one which was turned away were turned away, too
+// ("event=stale_attempt ... result=full" again and again, up to 4 s past the list's time).
+func TestDrainedBackendTurnsCallsAway(t *testing.T) {
+	t.Parallel()
+	s := startStaleListRun(t)
+	s.discovery.Crowd(500 * time.Millisecond)
+	s.discovery.Reset()
+	drains := time.Now()
+	s.toLeaving.turnAway(drains.Add(answersOn))
+	told := drains.Add(toldWithin + drainGrace)
+	s.askUntil(told)
+	end := told.Add(2 * time.Second)
+	s.askUntil(end)
+	if n := s.toLeaving.between(told, end); n > 0 {
+		t.Errorf("%d requests to a backend whose going counts as told", n)
+	}
+}
+
 // A backend drains and answers on, and discovery has too much to do to tell of it, though it
 // is up. Its going counts after six seconds, as any other. Known to fail: a process can't tell
 // a crowd from an outage, nor a watch that is late from one that has nothing to tell, by
