A backend that has turned a call away is not used past the list's time

Cause: presence.here held a backend for six seconds after a served call, and did not look at what presence.missed had noted since. Why it holds: one that turns calls away is out until it serves, which only a call already out can bring about, or a list comes.

--- a/logic/presence.go
+++ b/logic/presence.go
@@ -14,6 +14,7 @@
 	failed  Time // last call since then that found it away, or was turned away; 0: none
 	broken  bool // a connection to it broke since then
 	away    bool // a connection to it did not come up since then
+	full    bool // it has turned a call away since then
 	gap     gap  // any
 	absence gap  // those in which it was found away
 }
@@ -42,7 +43,8 @@
 	if last := max(p.seen, f.Known); p.away || sent > last+f.Gap {
 		p.gap.widen(f.Known, last, now)
 	}
-	p.seen, p.took, p.failed, p.broken, p.away = now, max(p.took, sent), 0, false, false
+	p.seen, p.took, p.failed = now, max(p.took, sent), 0
+	p.broken, p.away, p.full = false, false, false
 	return wasAway
 }
 
@@ -51,12 +53,14 @@
 	p.failed = now
 	p.away = p.away || why == NoConnect
 	p.broken = p.broken || why == Broken
+	p.full = p.full || why == Full
 }
 
 // here tells whether the backend was there all the time since the list was known to be whole, or was seen
-// so lately that a change of it can't count yet.
+// so lately that a change of it can't count yet. One that turns calls away may drain, and may have been told
+// to some seconds before it began to: what it served before that proves nothing any more.
 func (p *presence) here(f *ListFresh, now Time) bool {
-	if now >= p.took+f.Serving {
+	if p.full || now >= p.took+f.Serving {
 		return false
 	}
 	return p.gap.at <= f.Known || now < p.gap.from+f.Serving
--- a/logic/presence_test.go
+++ b/logic/presence_test.go
@@ -81,6 +81,23 @@
 			r.call(11000*ms, NoConnect)
 			r.calls(11100*ms, 17000*ms, OK)
 		}, false},
+		{"turned away by the newest call", func(r *presenceRun) {
+			r.calls(9000*ms, 15000*ms, OK)
+			r.call(15000*ms, Full)
+		}, false},
+		{"turned away past the list's time", func(r *presenceRun) {
+			r.calls(9000*ms, 16500*ms, OK)
+			r.call(16500*ms, Full)
+		}, false},
+		{"turned away, and served again", func(r *presenceRun) {
+			r.calls(9000*ms, 14000*ms, OK)
+			r.call(14000*ms, Full)
+			r.calls(14500*ms, 17000*ms, OK)
+		}, true},
+		{"a connection broke with the newest call", func(r *presenceRun) {
+			r.calls(9000*ms, 15500*ms, OK)
+			r.call(15500*ms, Broken)
+		}, true},
 		{"not seen for a while, nothing sent", func(r *presenceRun) {
 			r.calls(9000*ms, 10600*ms, OK)
 			r.calls(13500*ms, 17000*ms, OK)
