A served call proves that its backend was there when it was sent, not when it answered

Symptom, in virtual time: past the list's time a backend went on being used that had not been seen for over two seconds but by the end of a call from before, and one that had turned a call away was used again once an older call was answered; on a watch, a doubt came late by as long as the call had taken. Cause: presence.served counted from the answer, and each answer cleared what newer calls had shown. A backend that drains finishes what it has, so that its answers come after its drain. Why it holds: all of presence goes by the time of the send, and an answer to a call that was sent before the newest failure clears nothing. Five rows of TestPresencePastTheList and TestPresenceOnAWatch failed before; the others are as they were.

--- a/logic/presence.go
+++ b/logic/presence.go
@@ -9,14 +9,13 @@
 
 // presence is when a backend was seen to be there.
 type presence struct {
-	seen    Time // last answer that served a call
-	took    Time // last send that it served
-	failed  Time // last call since then that found it away, or was turned away; 0: none
-	broken  bool // a connection to it broke since then
-	away    bool // a connection to it did not come up since then
-	full    bool // it has turned a call away since then
-	gap     gap  // any
-	absence gap  // those in which it was found away
+	lastServed Time // when the newest call that it served was sent: its answer proves no more
+	failed     Time // last call since then that found it away, or was turned away; 0: none
+	broken     bool // a connection to it broke since then
+	away       bool // a connection to it did not come up since then
+	full       bool // it has turned a call away since then
+	gap        gap  // any
+	absence    gap  // those in which it was found away
 }
 
 // gap is a time through which a backend was not seen.
@@ -34,16 +33,21 @@
 }
 
 // served takes that a call sent at some time has been served, and tells whether the backend was away
-// before.
+// before. A backend that drains finishes what it has, so that an answer proves nothing of the time behind
+// its call's send, and takes back no failure of a call that ended since.
 func (p *presence) served(f *ListFresh, now, sent Time) (wasAway bool) {
-	wasAway = p.away || p.broken && sent > p.seen+f.Gap
+	if p.failed > 0 && sent <= p.failed {
+		p.lastServed = max(p.lastServed, sent)
+		return false
+	}
+	wasAway = p.away || p.broken && sent > p.lastServed+f.Gap
 	if wasAway {
-		p.absence.widen(f.Told, p.seen, now)
+		p.absence.widen(f.Told, p.lastServed, now)
 	}
-	if last := max(p.seen, f.Known); p.away || sent > last+f.Gap {
+	if last := max(p.lastServed, f.Known); p.away || sent > last+f.Gap {
 		p.gap.widen(f.Known, last, now)
 	}
-	p.seen, p.took, p.failed = now, max(p.took, sent), 0
+	p.lastServed, p.failed = max(p.lastServed, sent), 0
 	p.broken, p.away, p.full = false, false, false
 	return wasAway
 }
@@ -60,7 +64,7 @@
 // so lately that a change of it can't count yet. One that turns calls away may drain, and may have been told
 // to some seconds before it began to: what it served before that proves nothing any more.
 func (p *presence) here(f *ListFresh, now Time) bool {
-	if p.full || now >= p.took+f.Serving {
+	if p.full || now >= p.lastServed+f.Serving {
 		return false
 	}
 	return p.gap.at <= f.Known || now < p.gap.from+f.Serving
@@ -69,7 +73,7 @@
 // doubtful tells whether a backend may have been listed as gone since the last list that was told, so long
 // ago that it counts: a watch that stands proves no more than that it stands.
 func (p *presence) doubtful(f *ListFresh, now Time) bool {
-	if p.failed > f.Told && now >= max(p.seen, f.Told)+f.Serving {
+	if p.failed > f.Told && now >= max(p.lastServed, f.Told)+f.Serving {
 		return true
 	}
 	return p.absence.at > f.Told && now >= p.absence.from+f.Serving
--- a/logic/presence_test.go
+++ b/logic/presence_test.go
@@ -31,14 +31,29 @@
 
 // call sends a call at a time, if it is let out, which ends so a moment later.
 func (r *presenceRun) call(at Time, result Result) (sent bool) {
+	return r.longCall(at, 10*ms, result)
+}
+
+// longCall is call with an end that comes later.
+func (r *presenceRun) longCall(at, latency Time, result Result) (sent bool) {
+	id, sent := r.begin(at)
+	if sent {
+		r.end(id, at+latency, latency, result)
+	}
+	return sent
+}
+
+// begin lets a call arrive at a time, and tells whether it was let out.
+func (r *presenceRun) begin(at Time) (id string, sent bool) {
 	r.serial++
 	id, sends := fmt.Sprint(r.serial), len(r.f.sends)
 	r.b.Arrive(at, Request{ID: id, Class: unsafe, Budget: 2000 * ms})
-	if len(r.f.sends) == sends {
-		return false
-	}
-	r.b.Done(at+10*ms, Outcome{Request: id, Result: result, Latency: 10 * ms, Final: true})
-	return true
+	return id, len(r.f.sends) > sends
+}
+
+// end ends a call that was let out.
+func (r *presenceRun) end(id string, at, latency Time, result Result) {
+	r.b.Done(at, Outcome{Request: id, Result: result, Latency: latency, Final: true})
 }
 
 // calls makes a call each half second from one time on and before another.
@@ -94,6 +109,12 @@
 			r.call(14000*ms, Full)
 			r.calls(14500*ms, 17000*ms, OK)
 		}, true},
+		{"turned away, and a call from before served", func(r *presenceRun) {
+			r.calls(9000*ms, 15000*ms, OK)
+			id, _ := r.begin(15000 * ms)
+			r.call(15200*ms, Full)
+			r.end(id, 16000*ms, 1000*ms, OK)
+		}, false},
 		{"a connection broke with the newest call", func(r *presenceRun) {
 			r.calls(9000*ms, 15500*ms, OK)
 			r.call(15500*ms, Broken)
@@ -102,6 +123,11 @@
 			r.calls(9000*ms, 10600*ms, OK)
 			r.calls(13500*ms, 17000*ms, OK)
 		}, false},
+		{"not seen for a while but by the end of a call from before", func(r *presenceRun) {
+			r.calls(9000*ms, 10500*ms, OK)
+			r.longCall(10500*ms, 1500*ms, OK)
+			r.calls(13000*ms, 17000*ms, OK)
+		}, false},
 		{"first seen long after the list", func(r *presenceRun) { r.calls(13500*ms, 17000*ms, OK) }, false},
 		{"not seen since the list", func(r *presenceRun) { r.calls(9000*ms, 9600*ms, OK) }, false},
 	} {
@@ -168,6 +194,23 @@
 			r.calls(11000*ms, 14000*ms, Full)
 			r.calls(14500*ms, late, OK)
 		}, false, true},
+		{"turned away since a call that ended late", func(r *presenceRun) {
+			r.calls(10000*ms, 10500*ms, OK)
+			r.longCall(10500*ms, 1500*ms, OK)
+			r.calls(12000*ms, 14000*ms, Full)
+		}, false, false},
+		{"away since a call that ended late", func(r *presenceRun) {
+			r.calls(10000*ms, 10500*ms, OK)
+			r.longCall(10500*ms, 1500*ms, OK)
+			r.call(12500*ms, NoConnect)
+			r.calls(12600*ms, late, OK)
+		}, false, false},
+		{"broken, with no call served for a while but one from before", func(r *presenceRun) {
+			r.calls(10000*ms, 10500*ms, OK)
+			r.longCall(10500*ms, 1500*ms, OK)
+			r.call(12500*ms, Broken)
+			r.calls(13000*ms, late, OK)
+		}, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r, asked := newPresenceRun(t)
