A backend that was not seen for two seconds is not used past the list's time, while that lasts

On real processes: 146 sends past the time at which the drain counts (TestQuietDrainedBackend, seen failing before). Cause: a gap of over two seconds ended what a served call proves only once another call had been served behind it; until then that proof stood for six seconds, though a draining backend answers on for some. Why it holds: what was served proves something for two seconds now, so that a backend which answers on for up to four seconds of its drain is left before the drain counts after six.

--- a/cmd/oxbowloft/stale_list_test.go
+++ b/cmd/oxbowloft/stale_list_test.go
@@ -201,6 +201,27 @@
 	}
 }
 
+// A backend drains and answers on for some seconds, and this process has nothing to send for a
+// while. Once its going counts it gets nothing. As found the call that it had served last
+// counted for six seconds, though some of those were behind its drain. On a herd day seventeen
+// attempts went to backends that had turned to draining in a quiet time of over two seconds
+// ("event=stale_attempt uid=s-64a0abb7 ... result=ok" at 13.97 s, "result=full" at 17.20 s).
+func TestQuietDrainedBackend(t *testing.T) {
+	t.Parallel()
+	s := startStaleListRun(t)
+	s.discovery.Crowd(500 * time.Millisecond)
+	s.discovery.Reset()
+	drains := time.Now()
+	s.askUntil(drains.Add(answersOn))
+	told := drains.Add(toldWithin + drainGrace)
+	time.Sleep(time.Until(told))
+	end := told.Add(2 * time.Second)
+	s.askUntil(end)
+	if n := s.toLeaving.between(told, end); n > 0 {
+		t.Errorf("%d requests to a backend whose going counts as told", n)
+	}
+}
+
 // A backend drains and answers on, and discovery has too much to do to tell of it, though it
 // is up. Its going counts after six seconds, as any other. Known to fail: a process can't tell
 // a crowd from an outage, nor a watch that is late from one that has nothing to tell, by
--- a/logic/presence.go
+++ b/logic/presence.go
@@ -60,11 +60,12 @@
 	p.full = p.full || why == Full
 }
 
-// here tells whether the backend was there all the time since the list was known to be whole, or was seen
-// so lately that a change of it can't count yet. One that turns calls away may drain, and may have been told
-// to some seconds before it began to: what it served before that proves nothing any more.
+// here tells whether the backend was there all the time since the list was known to be whole, up to now, or
+// was seen so lately that a change of it can't count yet. One that drains may answer on for some seconds and
+// then turn calls away. What it served proves nothing any more once it has turned one away, or was not seen
+// for a while in which it may have begun to.
 func (p *presence) here(f *ListFresh, now Time) bool {
-	if p.full || now >= p.lastServed+f.Serving {
+	if p.full || now >= p.lastServed+min(f.Gap, f.Serving) {
 		return false
 	}
 	return p.gap.at <= f.Known || now < p.gap.from+f.Serving
--- a/logic/presence_test.go
+++ b/logic/presence_test.go
@@ -116,8 +116,8 @@
 			r.end(id, 16000*ms, 1000*ms, OK)
 		}, false},
 		{"a connection broke with the newest call", func(r *presenceRun) {
-			r.calls(9000*ms, 15500*ms, OK)
-			r.call(15500*ms, Broken)
+			r.calls(9000*ms, 16500*ms, OK)
+			r.call(16500*ms, Broken)
 		}, true},
 		{"not seen for a while, nothing sent", func(r *presenceRun) {
 			r.calls(9000*ms, 10600*ms, OK)
@@ -128,6 +128,7 @@
 			r.longCall(10500*ms, 1500*ms, OK)
 			r.calls(13000*ms, 17000*ms, OK)
 		}, false},
+		{"not seen for a while up to now", func(r *presenceRun) { r.calls(9000*ms, 15000*ms, OK) }, false},
 		{"first seen long after the list", func(r *presenceRun) { r.calls(13500*ms, 17000*ms, OK) }, false},
 		{"not seen since the list", func(r *presenceRun) { r.calls(9000*ms, 9600*ms, OK) }, false},
 	} {
