--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -226,16 +226,17 @@
 
 // drain tells that a backend is leaving, then that it is gone, and another comes in its
 // place. It answers on: what still comes must not. Where discovery gets crowded it turns calls
-// away: one that answers on and can't be told of is known to be used (TestCrowdIsNoOutage).
+// away once it is gone: one that answers on for longer and can't be told of is known to be used
+// (TestCrowdIsNoOutage).
 func (r *run) drain(b *backend, span time.Duration) {
 	if !r.beginLeaving(b) {
 		return
 	}
+	r.registry.set(target{uid: b.name, state: "terminating", backend: b})
+	time.Sleep(span)
 	if r.crowded {
 		b.refuse()
 	}
-	r.registry.set(target{uid: b.name, state: "terminating", backend: b})
-	time.Sleep(span)
 	r.registry.set(target{uid: b.name, state: "terminated", backend: b})
 	r.mu.Lock()
 	r.serial++
@@ -306,7 +307,9 @@
 // crowd fills a proxy's descriptors with clients that say nothing.
 func (r *run) crowd(p *process, span time.Duration) {
 	r.mu.Lock()
-	r.crowds[p.number] = time.Now().Add(span + time.Second)
+	if until := time.Now().Add(span + time.Second); until.After(r.crowds[p.number]) { // one may overlap another
+		r.crowds[p.number] = until
+	}
 	r.mu.Unlock()
 	var idle []net.Conn
 	defer func() {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -96,9 +96,12 @@
 // takes for what it does not tell to count.
 const staleListSpan = tellWithin + 4*time.Second
 
+// drainAnswersOn is for how long a backend that drains in such a group answers on.
+const drainAnswersOn = 2500 * time.Millisecond
+
 // staleLists is a group of troubles in which lists get old: discovery is crowded, backends are
-// away and come back, watches are reset or stand, and processes start with the list that they
-// had last.
+// away and come back, others drain and answer on before they turn calls away, watches are reset
+// or stand, and processes start with the list that they had last.
 func staleLists(rng *rand.Rand, plan *Plan) []Event {
 	begin := quiet + time.Duration(rng.Int64N(int64(plan.Length-staleListSpan-2*quiet)+1))
 	after := func(least, most time.Duration) time.Duration {
@@ -115,5 +118,9 @@
 	for range 3 {
 		events = append(events, Event{At: after(2*time.Second, 5*time.Second), Kind: Kill, Target: rng.IntN(1 << 16)})
 	}
+	for range 2 {
+		events = append(events, Event{At: after(200*time.Millisecond, 800*time.Millisecond), Kind: Drain,
+			Target: rng.IntN(1 << 16), Span: drainAnswersOn})
+	}
 	return events
 }
