--- a/internal/soak/rogue_test.go
+++ b/internal/soak/rogue_test.go
@@ -249,16 +249,28 @@
 	if text, err := exec.Command("go", "build", "-o", program, "oxbowloft/cmd/oxbowloft").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, text)
 	}
-	plan := &Plan{Program: program, Dir: dir, Proxies: 6, Backends: 4, Clients: 2, Length: 6 * time.Second}
-	report, err := Run(context.Background(), plan, 1, Schedule(1, plan))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if report.Outcomes["served"] == 0 {
-		t.Errorf("nothing was served: %s", report.Summary)
-	}
-	for _, v := range report.Violations {
-		t.Errorf("%s: %s\n%s", v.Rule, v.Detail, strings.Join(v.Trace, "\n"))
+	for _, c := range []struct {
+		seed uint64
+		plan Plan
+	}{
+		{1, Plan{Proxies: 6, Backends: 4, Clients: 2, Length: 6 * time.Second}},
+		// Lists get old while backends drain: 284 sends past the grace before
+		// docs/incidents/herd-day-drains.md was mended.
+		{49014, Plan{Proxies: 8, Backends: 8, Clients: 2, Length: 16 * time.Second}},
+	} {
+		t.Run(fmt.Sprint("seed ", c.seed), func(t *testing.T) {
+			c.plan.Program, c.plan.Dir = program, dir
+			report, err := Run(context.Background(), &c.plan, c.seed, Schedule(c.seed, &c.plan))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.Outcomes["served"] == 0 {
+				t.Errorf("nothing was served: %s", report.Summary)
+			}
+			for _, v := range report.Violations {
+				t.Errorf("%s: %s\n%s", v.Rule, v.Detail, strings.Join(v.Trace, "\n"))
+			}
+		})
 	}
 }
 
