Driver: what the module asks for in a file of its own; one reader of lists, one sender of signals

Moves alone, and two twins made one: check and follow of internal/discovery decoded and parsed a list each, signal and signalIfEnding of the soak delivered one each.

--- a/internal/discovery/check.go
+++ b/internal/discovery/check.go
@@ -76,13 +76,9 @@
 func (c *Client) check(ctx context.Context, at source) (rev int64, err error) {
 	_, err = c.open(ctx, at, func(body io.Reader, alive func()) error {
 		lists := json.NewDecoder(&stream{r: body, alive: alive, idle: func() {}, left: maxList})
-		var text json.RawMessage
-		if err := lists.Decode(&text); err != nil {
-			return fmt.Errorf("list: %w", err)
-		}
-		l, err := Parse(text)
+		l, err := next(lists)
 		if err != nil {
-			return fmt.Errorf("list: %w", err)
+			return err
 		}
 		rev = l.Rev
 		use, err := c.apply(at, l, false)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -361,15 +361,11 @@
 	body := &stream{r: r, alive: alive, idle: func() { signsOfLife++; confirm() }}
 	lists := json.NewDecoder(body)
 	for first := true; ; first = false {
-		var text json.RawMessage
 		begun, _ := lists.Buffered().Read(make([]byte, 1)) // of the next one, read ahead
 		body.left, body.begun = maxList, begun > 0
-		if err := lists.Decode(&text); err != nil {
-			return told, fmt.Errorf("list: %w", err)
-		}
-		l, err := Parse(text)
+		l, err := next(lists)
 		if err != nil {
-			return told, fmt.Errorf("list: %w", err)
+			return told, err
 		}
 		use, err := c.apply(at, l, first)
 		if err != nil {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -36,6 +36,19 @@
 	Terminated  = "terminated"
 )
 
+// next reads the next list of a watch.
+func next(lists *json.Decoder) (*List, error) {
+	var text json.RawMessage
+	if err := lists.Decode(&text); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	l, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	return l, nil
+}
+
 // Parse reads one list and makes sure that it can be used as a whole.
 func Parse(line []byte) (*List, error) {
 	var l struct {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -143,6 +143,11 @@
 func (p *process) signal(s os.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.deliver(s)
+}
+
+// deliver sends a signal to the process, if there is one, with the lock held.
+func (p *process) deliver(s os.Signal) {
 	if p.cmd != nil && p.cmd.Process != nil {
 		p.cmd.Process.Signal(s)
 	}
@@ -167,7 +172,7 @@
 	case <-p.exited:
 	default:
 		if p.ending {
-			p.cmd.Process.Signal(s)
+			p.deliver(s)
 		}
 	}
 }
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -43,9 +42,6 @@
 	byHandOut   map[string]bool // detached by operators
 }
 
-// standingEvery bounds the lines about backends that are ejected and return.
-const standingEvery = 100 * time.Millisecond
-
 // place is where a backend is, since when.
 type place struct {
 	*upstream.Backend
@@ -408,66 +404,3 @@
 		}
 	})
 }
-
-// Send implements logic.Actions.
-func (d *driver) Send(request, backend string, timeout time.Duration) {
-	r := d.calls[request]
-	s := step{kind: stepSend, attempt: r.sends, uid: backend, to: d.backends[backend].Backend, sent: time.Now()}
-	s.timeout = timeout
-	s.withheld = r.sends > 0 && !d.mayRepeat(r)
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	r.cancel, r.begun = s.cancel, false
-	r.steps <- s
-	r.sends++
-}
-
-// Refuse implements logic.Actions.
-func (d *driver) Refuse(request string, comeBack time.Duration, why logic.Cause) {
-	d.calls[request].steps <- step{kind: stepRefuse, comeBack: comeBack, why: why}
-}
-
-// Fail implements logic.Actions.
-func (d *driver) Fail(request string, why logic.Cause) {
-	d.calls[request].steps <- step{kind: stepFail, why: why}
-}
-
-// Cancel implements logic.Actions.
-func (d *driver) Cancel(request string, attempt int) {
-	if r := d.calls[request]; r != nil && r.sends == attempt+1 {
-		r.cancel()
-	}
-}
-
-// Wake implements logic.Actions.
-func (d *driver) Wake(token uint64, after time.Duration) {
-	due := time.Now().Add(after)
-	timer := time.AfterFunc(after, func() {
-		d.stats.late(time.Since(due))
-		d.do(func(now logic.Time) { d.balancer.Wake(now, token) })
-	})
-	if d.current != nil {
-		d.current.timer = timer
-	}
-}
-
-// Stands implements logic.Observer.
-func (d *driver) Stands(backend string, s logic.Standing, failures float64) {
-	if leftOut, ok := d.standingLog.Allow(); ok {
-		log.Printf("event=backend uid=%s standing=%s failures=%.2f left_out=%d", backend, s, failures, leftOut)
-	}
-}
-
-// AskList implements logic.Lister.
-func (d *driver) AskList() {
-	if d.askList != nil {
-		d.later = append(d.later, d.askList)
-	}
-}
-
-// CloseIdle implements logic.Actions.
-func (d *driver) CloseIdle(backend string) {
-	// Out of use at once, since the module may send to it next; closed later.
-	if b, ok := d.backends[backend]; ok {
-		d.later = append(d.later, b.Detach())
-	}
-}
