A check's list does not lift the bound of a watch that was closed meanwhile

What callers could see: a watch is closed instead of telling of a drain, which counts two seconds later; a check that was under way brings a list from before the close, and backends go on being used for six seconds more. A check may wait as long as discovery's queue is, so that the window is up to three seconds. Cause: the list of a check went to the list's clock as one of a watch that stands. Why it holds: where the watch has ended since, the check's list is used and moves nothing on the clock; the next call's does. TestCheckDoesNotLiftTheBoundOfAClose was seen to fail before; TestCheck is as it was.

--- a/internal/discovery/check.go
+++ b/internal/discovery/check.go
@@ -81,7 +81,7 @@
 			return err
 		}
 		rev = l.Rev
-		use, err := c.apply(at, l, false)
+		use, err := c.apply(at, l, false, (*freshness).checked)
 		if err == nil && !use {
 			err = errors.New("not used")
 		}
--- a/internal/discovery/check_test.go
+++ b/internal/discovery/check_test.go
@@ -108,3 +108,47 @@
 		}
 	})
 }
+
+// A watch is closed while a check beside it waits for its answer. What the watch has not told
+// counts two seconds after the close, and the check's list may be from before that: it is used,
+// and the list is stale by then all the same, until a call that was made later has brought one.
+// As found it was taken for a list of the watch, and lifted that bound. Found by reading.
+func TestCheckDoesNotLiftTheBoundOfAClose(t *testing.T) {
+	log.SetOutput(io.Discard)
+	defer log.SetOutput(os.Stderr)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCheckedClient()
+		c.source.set(lists(5))
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan bool)
+		go func() { defer close(done); c.Run(ctx) }()
+		defer func() { stop(); <-done }()
+		c.Ask()
+		synctest.Wait()
+		watch := c.source.last
+		answer := make(chan bool)
+		c.source.set(func(conn net.Conn) {
+			<-answer
+			lists(6)(conn)
+		})
+		c.Check()
+		for calls, _, _, _ := c.seen(); calls < 2; calls, _, _, _ = c.seen() {
+			c.live(watch, sec)
+		}
+		watch.Close()
+		_, _, ends, ended := c.seen()
+		close(answer)
+		_, got, _, after := c.seen()
+		if ends != 1 || got != 2 {
+			t.Fatalf("%d ends, %d lists; want the watch's end, and the check's list", ends, got)
+		}
+		if after.Until.After(ended.Until) || time.Until(ended.Until) > 2*sec {
+			t.Errorf("fresh for %v after the close, for %v after the check's list", time.Until(ended.Until), time.Until(after.Until))
+		}
+		c.source.set(lists(7))
+		c.Ask()
+		if _, _, _, fresh := c.seen(); time.Until(fresh.Until) < 5*sec {
+			t.Errorf("fresh for %v after a list of a new watch", time.Until(fresh.Until))
+		}
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -222,14 +222,15 @@
 	return true, nil
 }
 
-// apply takes a list from a source and hands it on, if it is to be used. Lists of a watch and
-// of a check are handed on in the order in which they are taken.
-func (c *Client) apply(at source, l *List, first bool) (use bool, err error) {
+// apply takes a list from a source and hands it on, if it is to be used; told says what that
+// means for the clock of the list. Lists of a watch and of a check are handed on in the order
+// in which they are taken.
+func (c *Client) apply(at source, l *List, first bool, told func(*freshness, time.Time)) (use bool, err error) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
 	if use, err = c.take(at, l, first); use {
 		c.OnList(l)
-		c.note(at, (*freshness).list)
+		c.note(at, told)
 	}
 	return use, err
 }
@@ -367,7 +368,7 @@
 		if err != nil {
 			return told, err
 		}
-		use, err := c.apply(at, l, first)
+		use, err := c.apply(at, l, first, (*freshness).list)
 		if err != nil {
 			return told, err
 		}
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -118,6 +118,14 @@
 	f.told(now)
 }
 
+// checked takes that a list has come by a check beside a watch. Where the watch has ended
+// meanwhile, the list may be from before that, and moves nothing.
+func (f *freshness) checked(now time.Time) {
+	if f.followed() {
+		f.list(now)
+	}
+}
+
 // told takes that a watch stands: a list that is in use, or a sign of life behind it. A sign
 // of life proves that discovery goes on telling, not that no change waits its turn.
 func (f *freshness) told(now time.Time) {
