--- a/proxy/actions.go
+++ b/proxy/actions.go
@@ -48,7 +48,7 @@
 	due := time.Now().Add(after)
 	timer := time.AfterFunc(after, func() {
 		d.stats.late(time.Since(due))
-		d.do(func(now logic.Time) { d.balancer.Wake(now, token) })
+		d.wake(token)
 	})
 	if d.current != nil {
 		d.current.timer = timer
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -255,6 +255,11 @@
 	})
 }
 
+// wake reports the end of a wait that the module asked for.
+func (d *driver) wake(token uint64) {
+	d.do(func(now logic.Time) { d.balancer.Wake(now, token) })
+}
+
 // end reports that the proxy ends, and with it each request that is still open: each
 // gets its answer from the module now, and what is out for it is given up.
 func (d *driver) end() {
