review: the cases as tests under a tag, and an added voter that lost its store

Cause: a voter with join and an empty store is taken for formed at once, so that one that was added and then lost its store votes again; nothing outside of the scripts ran the cases.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -28,9 +28,10 @@
 
 // Lab is one run of a case.
 type Lab struct {
-	Root    string // of the repository
-	Dir     string // temporary, removed at the end
-	Trouble bool   // false with TROUBLE=0: the same without the disruption
+	Root    string         // of the repository
+	Dir     string         // temporary, removed at the end
+	Trouble bool           // false with TROUBLE=0: the same without the disruption
+	Exit    func(code int) // ends the run; os.Exit unless a test sets it
 	start   time.Time
 
 	mu     sync.Mutex
@@ -44,21 +45,28 @@
 		fmt.Fprintln(os.Stderr, "usage: rig ROOT CASE-FOLDER")
 		os.Exit(CouldNot)
 	}
-	l := &Lab{Root: os.Args[1], Trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
-	var err error
-	if l.Dir, err = os.MkdirTemp("", "review"); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(CouldNot)
-	}
-	if l.record, err = os.Create(filepath.Join(os.Args[2], "record.txt")); err != nil {
+	l, err := Open(os.Args[1], os.Args[2])
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(CouldNot)
 	}
 	time.AfterFunc(110*time.Second, func() { l.End(CouldNot, "the run took too long") })
-	l.Log("run trouble=%t", l.Trouble)
 	return l
 }
 
+// Open opens a run for the repository at root whose record goes to record.txt in folder.
+func Open(root, folder string) (l *Lab, err error) {
+	l = &Lab{Root: root, Trouble: os.Getenv("TROUBLE") != "0", Exit: os.Exit, start: time.Now()}
+	if l.Dir, err = os.MkdirTemp("", "review"); err != nil {
+		return nil, err
+	}
+	if l.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+		return nil, err
+	}
+	l.Log("run trouble=%t", l.Trouble)
+	return l, nil
+}
+
 // Log writes one line of the record, with the time since the start.
 func (l *Lab) Log(format string, args ...any) {
 	l.mu.Lock()
@@ -79,7 +87,7 @@
 	fmt.Printf("%s: %s\n", [...]string{"held", "BROKEN", "could not run"}[code], text)
 	l.record.Close()
 	os.RemoveAll(l.Dir)
-	os.Exit(code)
+	l.Exit(code)
 }
 
 // Must ends the run as one that could not run if err is not nil.
--- a/review/9/rig.go
+++ b/review/voter_test.go
@@ -1,8 +1,6 @@
 //go:build review
 
-// The rig of the voters: three voters, one of which has lost its store and was replaced as
-// docs/voters.md says; then the replacement loses its store, too, and is started again.
-package main
+package review
 
 import (
 	"context"
@@ -14,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"testing"
 	"time"
 
 	"oxbowloft/fleet/agree"
@@ -28,7 +27,7 @@
 	Ask     string `json:"ask"`
 }
 
-type config struct {
+type voterConfig struct {
 	Name   string `json:"name"`
 	Bind   string `json:"bind"`
 	Listen string `json:"listen"`
@@ -37,8 +36,30 @@
 	Join   bool   `json:"join,omitempty"`
 }
 
-func main() {
-	l := lab.New()
+// A voter that was added to the set has acknowledged a window, loses its store and is started again.
+// docs/voters.md: "A voter whose store is gone comes up with a new life, learns that the others know
+// another, and ends [...] What it voted for and acknowledged is not known any more, so it must not vote
+// again by its name." An added voter does: with a voter that has missed the window it is a majority,
+// and what two stores of three still had acknowledged (one of them stays whole) is overwritten. The
+// cause: prepare in fleet/agree/voter.go takes a voter with "join" and an empty store for formed at
+// once; only voters of the initial set ask the others for their life (form.go).
+//
+// With TROUBLE=0 the store is kept, and the test passes.
+func TestLostStoreOfAddedVoter(t *testing.T) {
+	root, err := filepath.Abs("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := lab.Open(root, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Exit = func(code int) {
+		if code == lab.Broken {
+			t.FailNow()
+		}
+		t.SkipNow()
+	}
 	var initial, all []peer
 	for i := range 4 {
 		all = append(all, peer{fmt.Sprintf("v%d", i+1), l.FreeAddr(), l.FreeAddr()})
@@ -46,7 +67,7 @@
 	initial = all[:3]
 	paths := map[string]string{}
 	for i, p := range all {
-		text, err := json.Marshal(config{p.Name, p.Address, p.Ask, filepath.Join(l.Dir, p.Name), initial, i == 3})
+		text, err := json.Marshal(voterConfig{p.Name, p.Address, p.Ask, filepath.Join(l.Dir, p.Name), initial, i == 3})
 		l.Must(err)
 		paths[p.Name] = filepath.Join(l.Dir, p.Name+".json")
 		l.Must(os.WriteFile(paths[p.Name], text, 0o600))
@@ -176,12 +197,9 @@
 	v2 = start("v2")
 	time.Sleep(5 * time.Second)
 	final, err := read("SHOW p1", 10*time.Second)
-	_ = v1
 	if lost != "" || err == nil && !strings.Contains(final, "state=out") {
 		l.End(lab.Broken, "p1 was granted with fence %v and is out; later %q, with all three up %q; p2: %q", fence, lost, final, second)
 	}
-	if err != nil {
-		l.End(lab.Held, "nobody answered: %v", err)
-	}
-	l.End(lab.Held, "%s", final)
+	l.Exit = func(int) {}
+	l.End(lab.Held, "%q, err=%v", final, err)
 }
