--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -84,9 +84,9 @@
 	}
 	text := fmt.Sprintf(format, args...)
 	l.Log("end code=%d %s", code, text)
-	fmt.Printf("%s: %s\n", [...]string{"held", "BROKEN", "could not run"}[code], text)
 	l.record.Close()
 	os.RemoveAll(l.Dir)
+	fmt.Printf("%s: %s\n", [...]string{"held", "BROKEN", "could not run"}[code], text)
 	l.Exit(code)
 }
 
