review: the records show that the cases are inside their limits

Cause: a record did not show by itself when a backend answered, when a client read on, and with which figures the case ran.

Checks and bounds are as they were.

--- a/review/1/rig.go
+++ b/review/1/rig.go
@@ -132,6 +132,7 @@
 		_, err = io.WriteString(c, answer)
 		before := arrived
 		mu.Unlock()
+		b.l.Log("answered backend=%s id=%s", b.uid, id)
 		if err != nil {
 			return
 		}
@@ -143,7 +144,7 @@
 					return
 				}
 				b.copies.Add(1)
-				b.l.Log("second_copy backend=%s id=%s", b.uid, id)
+				b.l.Log("second_copy backend=%s id=%s bytes_behind_the_request=%d", b.uid, id, arrived-before)
 				io.WriteString(c, answer)
 			})
 		}
@@ -156,6 +157,7 @@
 
 func main() {
 	l := lab.New()
+	l.Log("limits one_way=%v second_copy_after=%v share=%v requests_a_second=%v", oneWay, secondLate, spoilt, perSecond)
 	var copies, served, refused, failed, lost, foreign atomic.Int64
 	var targets []lab.Target
 	for i, zone := range []string{"athens-2", "thessaloniki", "patras", "heraklion"} {
