upstream: a connection rests 100 ms after each answer, with no exception

Cause: a connection was used again 2 ms after an answer, at once where no other could be had, and the look before the first byte sees only what has arrived. A second answer some milliseconds late, on its way by then, was taken for the next request's. The true answer then came late, for a request that was over, and was taken for the one after it; where that was a turned-away answer, a request that ran was sent to another backend.

Evidence: a trial build logged how long each connection had been idle and when its answer came.

Change: what may carry the next exchange stands in internal/upstream/idle.go. None does that has rested for less than 100 ms. Where descriptors are scarce a new connection takes the place of one that rests; where a new one is late, the attempt waits for the end of a rest. Of those that have rested, one that has done so for 300 ms is preferred. An attempt that is not sent leaves a connection's idle time as it was. stats has the count of connections closed for bytes that nobody asked for.

Why this works: the second answer follows the first on one connection, so one up to 100 ms late is here at the look before the next first byte, for each way, number and order of requests, and however long this process is held up.

TestDataAfterAnAnswer now waits for the end of the rest, as it would open new connections without it.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -456,6 +456,16 @@
 	return n == 0 && (err == nil || errors.Is(err, syscall.EAGAIN))
 }
 
+// HasUnreadData reports whether bytes have arrived that are not consumed yet, in the buffer or in
+// the kernel, as far as can be determined without waiting.
+func (c *Conn) HasUnreadData() bool {
+	if c.Buffered() > 0 {
+		return true
+	}
+	n, _ := c.peek()
+	return n > 0
+}
+
 // HasPipelinedData reports whether bytes have arrived after the message that was read, in
 // the buffer or in the kernel. Empty lines, which some senders add, do not count.
 func (c *Conn) HasPipelinedData() bool {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -15,8 +15,9 @@
 
 // backend is a test backend. It has one listener per proxy, which tells the proxies apart.
 type backend struct {
-	recorder *Recorder
-	name     string
+	recorder     *Recorder
+	name         string
+	answersTwice bool // some responses are followed by a late second copy
 
 	listeners []net.Listener // by proxy
 	tasks     sync.WaitGroup
@@ -33,9 +34,16 @@
 // maxActive is the number of requests that a backend works on at a time; more are rejected.
 const maxActive = 30
 
-func newBackend(recorder *Recorder, name string, proxies int, seed uint64) (*backend, error) {
+// Of a backend that answers twice: the share of such answers, and how late the second one is at
+// most. The next request may have been written by then, as on a long way between proxy and backend.
+const (
+	secondAnswerShare = 0.1
+	maxSecondDelay    = 25 * time.Millisecond
+)
+
+func newBackend(recorder *Recorder, name string, proxies int, seed uint64, answersTwice bool) (*backend, error) {
 	b := &backend{
-		recorder: recorder, name: name, conns: map[net.Conn]bool{}, faultsUntil: map[EventKind]time.Time{},
+		recorder: recorder, name: name, answersTwice: answersTwice, conns: map[net.Conn]bool{}, faultsUntil: map[EventKind]time.Time{},
 		rng: rand.New(rand.NewPCG(seed, 2)),
 	}
 	for proxy := range proxies {
@@ -131,7 +139,7 @@
 	}()
 	b.recorder.AttemptReceived(id, b.name, proxy, began, time.Duration(timeoutMs)*time.Millisecond, !full)
 	if full {
-		return reply(c, http.StatusServiceUnavailable, "X-Not-Processed: 1\r\n", "full\n")
+		return b.replyMaybeTwice(c, http.StatusServiceUnavailable, "X-Not-Processed: 1\r\n", "full\n")
 	}
 	for b.hasFault(Hang) {
 		time.Sleep(20 * time.Millisecond)
@@ -149,7 +157,27 @@
 		reply(c, http.StatusOK, "", body)
 		return false
 	}
-	return reply(c, http.StatusOK, "", body)
+	return b.replyMaybeTwice(c, http.StatusOK, "", body)
+}
+
+// replyMaybeTwice sends a response, followed by a late second copy if the backend answers twice and
+// this response is drawn.
+func (b *backend) replyMaybeTwice(c net.Conn, status int, header, body string) bool {
+	if !reply(c, status, header, body) {
+		return false
+	}
+	if !b.answersTwice {
+		return true
+	}
+	b.mu.Lock()
+	twice := b.rng.Float64() < secondAnswerShare
+	delay := time.Duration(b.rng.Int64N(int64(maxSecondDelay)))
+	b.mu.Unlock()
+	if !twice {
+		return true
+	}
+	time.Sleep(delay)
+	return reply(c, status, header, body)
 }
 
 func reply(c net.Conn, status int, header, body string) bool {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -108,6 +108,13 @@
 	longListEntries = 1500
 )
 
+// In one of answersTwiceEvery seeds, none of which has long lists, backends answer some requests
+// twice.
+const (
+	answersTwiceEvery     = 4
+	answersTwiceRemainder = 2
+)
+
 // prepare starts discovery and the backends, and assigns the proxies' addresses and files.
 func (r *run) prepare(dir string) (err error) {
 	if r.registry, err = newRegistry(r.recorder, r.plan.Proxies); err != nil {
@@ -141,7 +148,8 @@
 	r.serial++
 	uid := fmt.Sprintf("s-%d", r.serial)
 	r.mu.Unlock()
-	b, err := newBackend(r.recorder, uid, r.plan.Proxies, r.seed+uint64(r.serial))
+	answersTwice := r.seed%answersTwiceEvery == answersTwiceRemainder
+	b, err := newBackend(r.recorder, uid, r.plan.Proxies, r.seed+uint64(r.serial), answersTwice)
 	if err != nil {
 		return err
 	}
@@ -238,19 +246,9 @@
 		b.rejectAll()
 	}
 	r.registry.set(target{uid: b.name, state: "terminated", backend: b})
-	r.mu.Lock()
-	r.serial++
-	newUID := fmt.Sprintf("s-%d", r.serial)
-	r.mu.Unlock()
-	next, err := newBackend(r.recorder, newUID, r.plan.Proxies, r.seed+uint64(r.serial))
-	if err != nil {
+	if err := r.addBackend(time.Now()); err != nil {
 		r.recorder.Void(err.Error())
-		return
 	}
-	r.registry.set(target{uid: newUID, state: "in_service", boot: time.Now(), backend: next})
-	r.mu.Lock()
-	r.backends = append(r.backends, next)
-	r.mu.Unlock()
 }
 
 // detectionDelay is the time until discovery notices that a backend went offline or returned.
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -54,7 +54,7 @@
 // open dials a connection for an attempt with the given timeout. The caller has acquired the
 // descriptor. open waits for the connect timeout and at most until the deadline. If ctx ends
 // meanwhile, the dial is cancelled.
-func (b *Backend) open(ctx context.Context, deadline time.Time, timeout time.Duration) (*http1.Conn, error) {
+func (b *Backend) open(ctx context.Context, deadline time.Time, timeout time.Duration) (*conn, error) {
 	if b.tooManyAbandoned() {
 		b.opt.Descriptors.Release()
 		return nil, errConnectTimeout
@@ -72,11 +72,11 @@
 		cancel()
 		<-d.done
 	}
-	conn, err := d.claim()
+	nc, err := d.claim()
 	if err != nil {
 		return nil, err
 	}
-	return http1.NewConn(conn), nil
+	return newConn(http1.NewConn(nc)), nil
 }
 
 // tooManyAbandoned reports whether so many abandoned dials are in progress that another one is
@@ -120,7 +120,7 @@
 	b.mu.Unlock()
 	switch {
 	case err == nil:
-		b.putIdle(http1.NewConn(conn))
+		b.returnIdle(newConn(http1.NewConn(conn)))
 	case b.lifetime.Err() == nil && b.opt.OnLateDialFailure != nil:
 		b.opt.OnLateDialFailure(b, err)
 	}
--- /dev/null
+++ b/internal/upstream/idle.go
@@ -0,0 +1,225 @@
+package upstream
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oxbowloft/internal/http1"
+)
+
+// A backend may send more than the answer to a request: a second copy, or noise. HTTP/1.1 does not
+// say which request an answer is for, so whatever arrives after the next request has been written
+// is taken for its answer. A connection therefore rests after each answer until what comes behind
+// it has arrived, and is then used only if nothing has.
+const (
+	// minRest is how long a connection rests after an answer before it carries another exchange.
+	// It has no exceptions: a second answer that arrives up to minRest after the first is noticed,
+	// however long the way to the backend is, since both take the same way.
+	minRest = 100 * time.Millisecond
+	// preferredRest is the rest after which a connection is preferred to those that have rested
+	// for less.
+	preferredRest = 300 * time.Millisecond
+)
+
+// conn is a connection to a backend.
+type conn struct {
+	*http1.Conn
+	idleSince time.Time // the end of its last exchange, or when it was established
+}
+
+func newConn(c *http1.Conn) *conn { return &conn{Conn: c, idleSince: time.Now()} }
+
+// hasRested reports whether the connection has been idle for at least rest, or has carried no
+// exchange yet.
+func (c *conn) hasRested(now time.Time, rest time.Duration) bool {
+	return !c.HasReadMessage() || now.Sub(c.idleSince) >= rest
+}
+
+// takeRested takes the idle connection to use next: the newest of those that have rested for
+// preferredRest, else the one that has rested longest. It returns nil if none has rested for
+// minRest.
+func (b *Backend) takeRested() *conn {
+	for {
+		c := b.removeNextRested(time.Now())
+		if c == nil || c.IsIdle() {
+			return c
+		}
+		b.discardUnidle(c)
+	}
+}
+
+func (b *Backend) removeNextRested(now time.Time) *conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := -1
+	for n, c := range b.idleConns {
+		if c.hasRested(now, preferredRest) || next < 0 && c.hasRested(now, minRest) {
+			next = n
+		}
+	}
+	if next < 0 {
+		return nil
+	}
+	c := b.idleConns[next]
+	b.idleConns = slices.Delete(b.idleConns, next, next+1)
+	return c
+}
+
+// awaitRested waits until a connection has rested, and takes it. It returns nil if none has by the
+// latest time, or if ctx ends before.
+func (b *Backend) awaitRested(ctx context.Context, latest time.Time) *conn {
+	if c := b.takeRested(); c != nil {
+		return c
+	}
+	c := b.removeLongestIdle()
+	if c == nil {
+		return nil
+	}
+	restEnd := c.idleSince.Add(minRest)
+	if restEnd.After(latest) {
+		b.returnIdle(c)
+		return nil
+	}
+	timer := time.NewTimer(time.Until(restEnd))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		b.returnIdle(c)
+		return nil
+	}
+	if !c.IsIdle() {
+		b.discardUnidle(c)
+		return nil
+	}
+	return c
+}
+
+// removeLongestIdle removes the connection that has been idle longest. It returns nil if none is
+// idle.
+func (b *Backend) removeLongestIdle() *conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.idleConns) == 0 {
+		return nil
+	}
+	c := b.idleConns[0]
+	b.idleConns = slices.Delete(b.idleConns, 0, 1)
+	return c
+}
+
+// beginRest makes a connection idle after an exchange, unless more than the answer has arrived.
+func (b *Backend) beginRest(c *conn) {
+	if c.Buffered() > 0 {
+		b.discardUnidle(c)
+		return
+	}
+	c.idleSince = time.Now()
+	b.returnIdle(c)
+}
+
+// returnIdle makes a connection available to other exchanges, without a change of its rest, or
+// closes it if descriptors are exhausted or the backend is closed.
+func (b *Backend) returnIdle(c *conn) {
+	exhausted := b.opt.Descriptors.Exhausted()
+	b.mu.Lock()
+	discard := exhausted || b.closed
+	if !discard {
+		n, _ := slices.BinarySearchFunc(b.idleConns, c, func(other, c *conn) int { return other.idleSince.Compare(c.idleSince) })
+		b.idleConns = slices.Insert(b.idleConns, n, c)
+	}
+	b.mu.Unlock()
+	if discard {
+		b.discard(c)
+	}
+}
+
+// discardUnidleConns closes the idle connections that their peer has closed or on which data has
+// arrived, without waiting for the end of their rest.
+func (b *Backend) discardUnidleConns() {
+	for _, c := range b.takeIdle(func(c *conn) bool { return !c.IsIdle() }) {
+		b.discardUnidle(c)
+	}
+}
+
+// discardUnidle closes a connection that its peer has closed or on which data has arrived that
+// answers no request.
+func (b *Backend) discardUnidle(c *conn) {
+	if c.HasUnreadData() {
+		b.opt.UnrequestedData.Add(1)
+	}
+	b.discard(c)
+}
+
+// CloseExpired closes the connections that have been idle for most of the idle timeout, so that
+// no request is sent on a connection that the backend is about to close.
+func (b *Backend) CloseExpired(now time.Time) {
+	const maxFraction = 0.7
+	b.closeAll(b.takeIdle(func(c *conn) bool { return float64(now.Sub(c.idleSince)) > maxFraction*float64(b.opt.IdleTimeout) }))
+}
+
+// RemoveIdle takes all idle connections out of use without blocking. The function that it returns
+// closes them.
+func (b *Backend) RemoveIdle() (closeRemoved func()) {
+	removed := b.takeIdle(func(*conn) bool { return true })
+	return func() { b.closeAll(removed) }
+}
+
+// IdleCount returns the number of idle connections.
+func (b *Backend) IdleCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.idleConns)
+}
+
+// OldestIdleSince returns when the oldest idle connection became idle; ok is false if none is idle.
+func (b *Backend) OldestIdleSince() (since time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.idleConns) == 0 {
+		return since, false
+	}
+	return b.idleConns[0].idleSince, true
+}
+
+// CloseOldestIdle closes the oldest idle connection and reports whether there was one.
+func (b *Backend) CloseOldestIdle() bool {
+	first := true
+	removed := b.takeIdle(func(*conn) bool { was := first; first = false; return was })
+	b.closeAll(removed)
+	return len(removed) > 0
+}
+
+// Close closes the idle connections, closes those in use once they become idle, and cancels the
+// dials in progress.
+func (b *Backend) Close() {
+	b.cancel()
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.RemoveIdle()()
+}
+
+// takeIdle removes and returns the idle connections for which match is true.
+func (b *Backend) takeIdle(match func(*conn) bool) (removed []*conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	kept := b.idleConns[:0]
+	for _, c := range b.idleConns {
+		if match(c) {
+			removed = append(removed, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(b.idleConns[len(kept):])
+	b.idleConns = kept
+	return removed
+}
+
+func (b *Backend) closeAll(conns []*conn) {
+	for _, c := range conns {
+		b.discard(c)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,7 @@
 type DescriptorBudget interface {
 	TryAcquire() bool // does not wait
 	Release()
+	Scarce() bool    // another connection would close idle ones
 	Exhausted() bool // connections that become idle should be closed
 }
 
@@ -50,6 +50,7 @@
 
 	ConnsOpened     atomic.Int64 // connections established, to all backends
 	RequestsWritten atomic.Int64 // requests completely written
+	UnrequestedData atomic.Int64 // connections closed because data arrived behind an answer
 
 	connectMu     sync.Mutex
 	connectMedian time.Duration // estimate of the median connect time; 0: no sample
@@ -64,16 +65,11 @@
 	cancel   func()
 
 	mu             sync.Mutex
-	idleConns      []idleConn // oldest first
-	abandonedDials int        // in progress with no attempt waiting
+	idleConns      []*conn // longest idle first
+	abandonedDials int     // in progress with no attempt waiting
 	closed         bool
 }
 
-type idleConn struct {
-	conn      *http1.Conn
-	idleSince time.Time
-}
-
 // New returns a backend without connections.
 func New(addr string, opt *Options) *Backend {
 	lifetime, cancel := context.WithCancel(context.Background())
@@ -213,14 +209,14 @@
 	answer := ExchangeResult{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, BodyRest: rest}
 	answer.release = func(complete bool) {
 		c.BeforeBodyRead = nil
-		if !complete || !reusable || c.Buffered() > 0 {
+		if !complete || !reusable {
 			if rest != nil {
 				rest.Abandon()
 			}
 			b.discard(c)
 		} else {
 			c.SetDeadline(time.Time{})
-			b.putIdle(c)
+			b.beginRest(c)
 		}
 	}
 	if rest != nil {
@@ -234,7 +230,7 @@
 
 // prepare returns a connection and the text to write on it, immediately before the first byte,
 // or the result of an exchange that ends without a connection.
-func (b *Backend) prepare(ctx context.Context, req *Request, deadline time.Time) (*http1.Conn, []byte, *ExchangeResult) {
+func (b *Backend) prepare(ctx context.Context, req *Request, deadline time.Time) (*conn, []byte, *ExchangeResult) {
 	for {
 		c, err := b.connect(ctx, deadline, req.Timeout)
 		switch {
@@ -245,21 +241,21 @@
 		case err != nil:
 			return nil, nil, &ExchangeResult{Stage: SendFailed, Err: err}
 		case req.ShouldSend != nil && !req.ShouldSend():
-			b.putIdle(c) // nothing has been written on it
+			b.returnIdle(c) // nothing has been written on it
 			return nil, nil, &ExchangeResult{Stage: Unsent, Err: errNotWanted}
 		}
 		text := req.Render(time.Until(deadline))
 		if !c.HasReadMessage() || c.IsIdle() {
 			return c, text, nil
 		}
-		b.discard(c) // the data that arrived meanwhile does not answer this request
+		b.discardUnidle(c) // the data that arrived meanwhile does not answer this request
 	}
 }
 
 // streamBody streams the rest of a long request body. An answer that comes meanwhile ends it,
 // since it is a rejection by the backend, and so does the end of ctx at any point of the
 // transfer.
-func streamBody(ctx context.Context, c *http1.Conn, req *Request) error {
+func streamBody(ctx context.Context, c *conn, req *Request) error {
 	c.SetReadDeadline(time.Time{})
 	var answered atomic.Bool
 	onAnswer := func() {
@@ -273,7 +269,7 @@
 		close(interrupted)
 	})
 	setDeadline := ProgressDeadlines(c.SetWriteDeadline)
-	err := req.Transfers.Forward(c, req.BodyRest, false, func(transferred int64) error {
+	err := req.Transfers.Forward(c.Conn, req.BodyRest, false, func(transferred int64) error {
 		if answered.Load() {
 			return errEarlyAnswer
 		}
@@ -299,148 +295,39 @@
 	errNotWanted    = errors.New("the request is no longer wanted")
 )
 
-// minIdleTime is how long a connection stays idle after an answer if another connection is
-// available. Data that a backend sends right behind an answer arrives in that time, is noticed,
-// and can't be mistaken for the next answer.
-const minIdleTime = 2 * time.Millisecond
-
-// connect takes the newest idle connection that is still open, or dials a new one.
-func (b *Backend) connect(ctx context.Context, deadline time.Time, timeout time.Duration) (*http1.Conn, error) {
-	if c := b.takeOpenIdle(minIdleTime); c != nil {
+// connect takes an idle connection that may carry another exchange, or dials a new one. If the
+// dial takes too long, it waits for a resting connection.
+func (b *Backend) connect(ctx context.Context, deadline time.Time, timeout time.Duration) (*conn, error) {
+	if c := b.takeRested(); c != nil {
 		return c, nil
 	}
-	spare := b.takeOpenIdle(0)
-	if !b.opt.Descriptors.TryAcquire() {
-		if spare != nil {
-			return spare, nil
-		}
+	b.discardUnidleConns() // before one more is opened
+	if !b.acquireDescriptor() {
 		return nil, errNoDescriptor
 	}
-	if spare != nil {
-		b.putIdle(spare)
-	}
 	c, err := b.open(ctx, deadline, timeout)
-	if errors.Is(err, errConnectTimeout) { // any connection that has become idle will do
-		if c := b.takeOpenIdle(0); c != nil {
+	if errors.Is(err, errConnectTimeout) {
+		latest := deadline.Add(-time.Duration((1 - connectTimeoutFraction) * float64(timeout)))
+		if c := b.awaitRested(ctx, latest); c != nil {
 			return c, nil
 		}
 	}
 	return c, err
 }
 
-// takeOpenIdle takes the newest connection that has been idle for minIdle and is still open.
-func (b *Backend) takeOpenIdle(minIdle time.Duration) *http1.Conn {
-	for {
-		c := b.takeNewestIdle(time.Now().Add(-minIdle))
-		if c == nil || c.IsIdle() {
-			return c
+// acquireDescriptor takes a descriptor for a new connection. If descriptors are scarce, the new
+// connection replaces a resting one, so that no other idle connection has to be closed for it.
+func (b *Backend) acquireDescriptor() bool {
+	if b.opt.Descriptors.Scarce() {
+		if c := b.removeLongestIdle(); c != nil {
+			c.Close() // and keeps its descriptor
+			return true
 		}
-		b.discard(c)
 	}
+	return b.opt.Descriptors.TryAcquire()
 }
 
-// takeNewestIdle takes the newest connection that was idle at the given time or has carried no
-// exchange yet.
-func (b *Backend) takeNewestIdle(at time.Time) *http1.Conn {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for n := len(b.idleConns) - 1; n >= 0; n-- {
-		if c := b.idleConns[n]; !c.idleSince.After(at) || !c.conn.HasReadMessage() {
-			b.idleConns = slices.Delete(b.idleConns, n, n+1)
-			return c.conn
-		}
-	}
-	return nil
-}
-
-// putIdle makes a connection available to other exchanges, or closes it if descriptors are
-// exhausted or the backend is closed.
-func (b *Backend) putIdle(c *http1.Conn) {
-	exhausted := b.opt.Descriptors.Exhausted()
-	b.mu.Lock()
-	discard := exhausted || b.closed
-	if !discard {
-		b.idleConns = append(b.idleConns, idleConn{c, time.Now()})
-	}
-	b.mu.Unlock()
-	if discard {
-		b.discard(c)
-	}
-}
-
-func (b *Backend) discard(c *http1.Conn) {
+func (b *Backend) discard(c *conn) {
 	c.Close()
 	b.opt.Descriptors.Release()
 }
-
-// CloseExpired closes the connections that have been idle for most of the idle timeout, so that
-// no request is sent on a connection that the backend is about to close.
-func (b *Backend) CloseExpired(now time.Time) {
-	const maxFraction = 0.7
-	b.closeAll(b.takeIdle(func(i idleConn) bool { return float64(now.Sub(i.idleSince)) > maxFraction*float64(b.opt.IdleTimeout) }))
-}
-
-// RemoveIdle takes all idle connections out of use without blocking. The function that it returns
-// closes them.
-func (b *Backend) RemoveIdle() (closeRemoved func()) {
-	removed := b.takeIdle(func(idleConn) bool { return true })
-	return func() { b.closeAll(removed) }
-}
-
-// IdleCount returns the number of idle connections.
-func (b *Backend) IdleCount() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.idleConns)
-}
-
-// OldestIdleSince returns when the oldest idle connection became idle; ok is false if none is idle.
-func (b *Backend) OldestIdleSince() (since time.Time, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.idleConns) == 0 {
-		return since, false
-	}
-	return b.idleConns[0].idleSince, true
-}
-
-// CloseOldestIdle closes the oldest idle connection and reports whether there was one.
-func (b *Backend) CloseOldestIdle() bool {
-	first := true
-	removed := b.takeIdle(func(idleConn) bool { was := first; first = false; return was })
-	b.closeAll(removed)
-	return len(removed) > 0
-}
-
-// Close closes the idle connections, closes those in use once they become idle, and cancels the
-// dials in progress.
-func (b *Backend) Close() {
-	b.cancel()
-	b.mu.Lock()
-	b.closed = true
-	b.mu.Unlock()
-	b.RemoveIdle()()
-}
-
-// takeIdle removes and returns the idle connections for which match is true.
-func (b *Backend) takeIdle(match func(idleConn) bool) (removed []*http1.Conn) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	kept := b.idleConns[:0]
-	for _, i := range b.idleConns {
-		if match(i) {
-			removed = append(removed, i.conn)
-		} else {
-			kept = append(kept, i)
-		}
-	}
-	clear(b.idleConns[len(kept):])
-	b.idleConns = kept
-	return removed
-}
-
-func (b *Backend) closeAll(conns []*http1.Conn) {
-	for _, c := range conns {
-		b.discard(c)
-	}
-}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -30,6 +30,7 @@
 	return true
 }
 func (s *descriptors) Release()        { s.free.Add(1) }
+func (s *descriptors) Scarce() bool    { return s.free.Load() <= 0 }
 func (s *descriptors) Exhausted() bool { return s.free.Load() == 0 }
 
 func options(n int64) (*Options, *descriptors) {
@@ -161,7 +162,7 @@
 		if a := b.Exchange(newExchange(shortContext(t), get)); a.Status != 200 || string(a.Body) != "GET /x " {
 			t.Fatalf("got %+v", a)
 		}
-		time.Sleep(minIdleTime)
+		time.Sleep(minRest)
 	}
 	if opened, _ := backend.ConnCounts(); opened != 1 || opt.ConnsOpened.Load() != 1 {
 		t.Errorf("%d connections opened, %d counted", opened, opt.ConnsOpened.Load())
@@ -191,7 +192,7 @@
 func TestDataAfterAnAnswer(t *testing.T) {
 	const copied = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
 	for name, trailing := range map[string]string{"a copy": copied, "noise": "\x00\x01\xff", "a line": "\r\n", "1xx": "HTTP/1.1 100 Continue\r\n\r\n"} {
-		for _, after := range []time.Duration{0, minIdleTime / 4} {
+		for _, after := range []time.Duration{0, minRest / 4} {
 			opt, s := options(5)
 			b := New(standin.NewBackend(t, func(c *standin.Call) {
 				if after == 0 {
@@ -206,10 +207,16 @@
 				if a := b.Exchange(newExchange(shortContext(t), get)); a.Err != nil || string(a.Body) != fmt.Sprint(n+1) {
 					t.Errorf("%s after %v: got %q, %v", name, after, a.Body, a.Err)
 				}
+				if after > 0 {
+					time.Sleep(minRest)
+				}
 			}
 			if n := opt.ConnsOpened.Load(); n != 5 {
 				t.Errorf("%s after %v: %d connections for 5 calls", name, after, n)
 			}
+			if n := opt.UnrequestedData.Load(); n < 4 {
+				t.Errorf("%s after %v: data behind %d of 5 answers was counted", name, after, n)
+			}
 			b.Close()
 			if n := s.free.Load(); n != 5 {
 				t.Errorf("%s: %d of 5 descriptors released", name, n)
@@ -238,7 +245,7 @@
 		t.Fatalf("got %q, %v", a.Body, a.Err)
 	}
 	backend.mu.Lock()
-	taken := backend.idleConns[0].conn
+	taken := backend.idleConns[0]
 	backend.idleConns[0].idleSince = time.Now().Add(-time.Hour) // it has been idle long enough
 	backend.mu.Unlock()
 	sendChecks := 0
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -144,7 +144,7 @@
 	}
 	p.list.OnList = p.driver.updateList
 	p.descriptors.reclaim, p.clients.descriptorsShort, p.clients.descriptorWanted =
-		p.reclaimDescriptors, p.descriptors.nearLimit, p.descriptors.clientIsWaiting
+		p.reclaimDescriptors, p.descriptors.Scarce, p.descriptors.clientIsWaiting
 	p.driver.updateList(cfg.knownList)
 	return p, nil
 }
--- a/proxy/sockets.go
+++ b/proxy/sockets.go
@@ -170,9 +170,9 @@
 	return s.used + 1 - int(reclaimThreshold*float64(s.limit))
 }
 
-// nearLimit reports whether descriptors are short, so that they are to be released as
+// Scarce reports whether descriptors are short, so that they are to be released as
 // soon as possible.
-func (s *descriptorBudget) nearLimit() bool { return s.excess() > 0 }
+func (s *descriptorBudget) Scarce() bool { return s.excess() > 0 }
 
 func (s *descriptorBudget) inUse() (used, peak int) {
 	s.mu.Lock()
