upstream: with scarce descriptors a new connection replaces the newest idle one

What operators saw: in a proxy with few descriptors nearly each request opened a connection to its backend, 3,627 for 4,000 requests with 64 descriptors at 200 a second.

Cause: the connection that a new one replaced was the one idle for longest, which was nearest to the end of its rest, so that none came to it.

Change: the one that became idle last is replaced.

Result: TestScarceDescriptors failed before ("1 idle", but the wrong one).

--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -109,6 +109,19 @@
 	return c
 }
 
+// removeNewestIdle removes the connection that became idle last. It returns nil if none is idle.
+func (b *Backend) removeNewestIdle() *conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last := len(b.idleConns) - 1
+	if last < 0 {
+		return nil
+	}
+	c := b.idleConns[last]
+	b.idleConns = slices.Delete(b.idleConns, last, last+1)
+	return c
+}
+
 // beginRest makes a connection idle after an exchange, unless more than the answer has arrived.
 func (b *Backend) beginRest(c *conn) {
 	if c.Buffered() > 0 {
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// Guards against connections that never end their rest: when descriptors are scarce, a new connection
+// replaces the one that became idle last, so that the others come to the end of theirs.
+func TestScarceDescriptors(t *testing.T) {
+	server := standin.NewBackend(t, standin.Echo)
+	opt, budget := options(3)
+	b := New(server.Addr(), opt)
+	defer b.Close()
+	addIdle(t, b, minRest/2, minRest/4)
+	budget.TryAcquire()
+	longest, _ := b.OldestIdleSince()
+	if a := b.Exchange(newExchange(shortContext(t), get)); a.Err != nil {
+		t.Fatalf("ended in stage %d: %v", a.Stage, a.Err)
+	}
+	if left, ok := b.OldestIdleSince(); !ok || !left.Equal(longest) || b.IdleCount() != 1 {
+		t.Errorf("%d idle, since %v, want the one since %v", b.IdleCount(), left, longest)
+	}
+	if opened, _ := server.ConnCounts(); opened != 3 || budget.free.Load() != 1 {
+		t.Errorf("%d connections opened, %d descriptors free, want 3 and 1", opened, budget.free.Load())
+	}
+}
+
 // An attempt that is not sent does not change how long its connection has been idle: the backend
 // closes it at its own idle timeout.
 func TestUnsentAttemptKeepsIdleTime(t *testing.T) {
