upstream: long request bodies in a file of their own, Exchange in steps

Cause: Exchange was a hundred lines long, with the handling of early answers in the middle, and changed the request's timeout on the way.

Change: sendBodyRest, readEarlyAnswer and readAnswer, in the order of an exchange; what streams bodies stands in body.go. Behaviour is as it was.

--- /dev/null
+++ b/internal/upstream/body.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"oxbowloft/internal/http1"
+)
+
+// transferLimits bounds the duration of a transfer to or from a backend. A peer may take seconds
+// over a part, but must not hold a connection and a buffer indefinitely.
+var transferLimits = http1.MinTransferRate{InitialAllowance: 5 * time.Second, BytesPerSecond: 16 << 10, StallTimeout: 5 * time.Second}
+
+// earlyAnswerTimeout bounds the reading of an answer to a partly sent request after the
+// connection has broken.
+const earlyAnswerTimeout = 50 * time.Millisecond
+
+// ProgressDeadlines returns a function that sets the deadline of the next step of a transfer
+// which begins now, by the number of bytes transferred so far.
+func ProgressDeadlines(setDeadline func(time.Time) error) func(transferred int64) {
+	start := time.Now()
+	return func(transferred int64) { setDeadline(transferLimits.Deadline(start, transferred)) }
+}
+
+var errEarlyAnswer = errors.New("the backend answered before the end of the request")
+
+// sendBodyRest streams the rest of a long request body. It returns the result of an exchange that
+// ends with it, or nil if the request is completely written.
+func (b *Backend) sendBodyRest(ctx context.Context, c *conn, req *Request) *ExchangeResult {
+	reused := c.HasReadMessage()
+	err := streamBody(ctx, c, req)
+	switch {
+	case err == nil:
+		return nil
+	case ctx.Err() != nil:
+		b.discard(c)
+		return &ExchangeResult{Stage: SendFailed, Err: ctx.Err()}
+	case errors.Is(err, errEarlyAnswer):
+		return b.readEarlyAnswer(ctx, c, err, reused, req.Timeout)
+	case errors.Is(err, http1.ErrDestination): // an answer may have come before the connection broke
+		return b.readEarlyAnswer(ctx, c, err, reused, earlyAnswerTimeout)
+	}
+	b.discard(c)
+	return &ExchangeResult{Stage: SendFailed, Err: err, BodyReadErr: err}
+}
+
+// readEarlyAnswer reads the answer to a partly sent request, whose transfer ended with sendErr, and
+// closes the connection. reused says that the connection has carried another exchange.
+func (b *Backend) readEarlyAnswer(ctx context.Context, c *conn, sendErr error, reused bool, timeout time.Duration) *ExchangeResult {
+	deadline := time.Now().Add(timeout)
+	c.SetDeadline(deadline)
+	resp, body, rest, err := c.ReadResponse(ctx, deadline)
+	b.discard(c)
+	if err != nil || rest != nil {
+		return &ExchangeResult{Stage: SendFailed, Err: sendErr}
+	}
+	// On a reused connection this 200 may be a late answer to an older request: a backend begins
+	// only at the last byte of a request, and has not run this one.
+	if resp.StatusCode == http.StatusOK && reused {
+		return &ExchangeResult{Stage: Answered, Err: errEarlyAnswer}
+	}
+	// The system reports a reset once, here to the write. An answer that ends with its connection
+	// looks complete to the reader then, even if it was cut off.
+	if resp.StatusCode == http.StatusOK && http1.IsCloseDelimited(resp) && errors.Is(sendErr, http1.ErrDestination) {
+		return &ExchangeResult{Stage: SendFailed, Err: sendErr}
+	}
+	return &ExchangeResult{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
+
+// streamBody streams the rest of a long request body. An answer that comes meanwhile ends it,
+// since it is a rejection by the backend, and so does the end of ctx at any point of the
+// transfer.
+func streamBody(ctx context.Context, c *conn, req *Request) error {
+	c.SetReadDeadline(time.Time{})
+	var answered atomic.Bool
+	onAnswer := func() {
+		answered.Store(true)
+		req.BodyRest.Interrupt() // the client may be slow, or wait for the answer
+	}
+	c.WatchPeer(onAnswer, onAnswer)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		req.BodyRest.Interrupt()
+		close(interrupted)
+	})
+	setDeadline := ProgressDeadlines(c.SetWriteDeadline)
+	err := req.Transfers.Forward(c.Conn, req.BodyRest, false, func(transferred int64) error {
+		if answered.Load() {
+			return errEarlyAnswer
+		}
+		setDeadline(transferred)
+		return ctx.Err() // checked last: setDeadline may have overwritten the deadline set at the end of ctx
+	})
+	c.UnwatchPeer()
+	cancelled := !stop()
+	if cancelled {
+		<-interrupted
+	}
+	if cancelled || answered.Load() {
+		req.BodyRest.Resume()
+	}
+	if answered.Load() && errors.Is(err, http1.ErrInterrupted) {
+		err = errEarlyAnswer
+	}
+	return err
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -109,23 +109,6 @@
 	}
 }
 
-// transferLimits bounds the duration of a transfer to or from a backend. A peer may take seconds
-// over a part, but must not hold a connection and a buffer indefinitely.
-var transferLimits = http1.MinTransferRate{InitialAllowance: 5 * time.Second, BytesPerSecond: 16 << 10, StallTimeout: 5 * time.Second}
-
-// earlyAnswerTimeout bounds the reading of an answer to a partly sent request after the
-// connection has broken.
-const earlyAnswerTimeout = 50 * time.Millisecond
-
-// ProgressDeadlines returns a function that sets the deadline of the next step of a transfer
-// which begins now, by the number of bytes transferred so far.
-func ProgressDeadlines(setDeadline func(time.Time) error) func(transferred int64) {
-	start := time.Now()
-	return func(transferred int64) { setDeadline(transferLimits.Deadline(start, transferred)) }
-}
-
-var errEarlyAnswer = errors.New("the backend answered before the end of the request")
-
 // TimedOut reports whether the exchange ended at its deadline.
 func (r *ExchangeResult) TimedOut() bool { return neterror.IsDeadline(r.Err) }
 
@@ -150,38 +133,8 @@
 		return ExchangeResult{Stage: SendFailed, Err: err}
 	}
 	if req.BodyRest != nil {
-		reused := c.HasReadMessage()
-		err := streamBody(ctx, c, req)
-		switch {
-		case err != nil && ctx.Err() != nil:
-			b.discard(c)
-			return ExchangeResult{Stage: SendFailed, Err: ctx.Err()}
-		case errors.Is(err, errEarlyAnswer), errors.Is(err, http1.ErrDestination):
-			// The backend answered before the end, or the connection broke: read the answer.
-			if errors.Is(err, http1.ErrDestination) {
-				req.Timeout = earlyAnswerTimeout
-			}
-			deadline = time.Now().Add(req.Timeout)
-			c.SetDeadline(deadline)
-			resp, body, rest, readErr := c.ReadResponse(ctx, deadline)
-			b.discard(c)
-			if readErr != nil || rest != nil {
-				return ExchangeResult{Stage: SendFailed, Err: err}
-			}
-			// On a reused connection this 200 may be a late answer to an older request: a
-			// backend begins only at the last byte of a request, and has not run this one.
-			if resp.StatusCode == http.StatusOK && reused {
-				return ExchangeResult{Stage: Answered, Err: errEarlyAnswer}
-			}
-			// The system reports a reset once, here to the write. An answer that ends with its
-			// connection looks complete to the reader then, even if it was cut off.
-			if resp.StatusCode == http.StatusOK && http1.IsCloseDelimited(resp) && errors.Is(err, http1.ErrDestination) {
-				return ExchangeResult{Stage: SendFailed, Err: err}
-			}
-			return ExchangeResult{Stage: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
-		case err != nil:
-			b.discard(c)
-			return ExchangeResult{Stage: SendFailed, Err: err, BodyReadErr: err}
+		if ended := b.sendBodyRest(ctx, c, req); ended != nil {
+			return *ended
 		}
 		deadline = time.Now().Add(req.Timeout) // the backend begins at the last byte of the request
 		c.SetDeadline(deadline)
@@ -194,6 +147,13 @@
 	if req.OnWritten != nil {
 		req.OnWritten()
 	}
+	return b.readAnswer(ctx, c, deadline, stopCancel)
+}
+
+// readAnswer reads the answer to a request that has been completely written, or the first part of a
+// long one. stopCancel stops what ends the connection's deadline with ctx, and reports whether it
+// did so in time.
+func (b *Backend) readAnswer(ctx context.Context, c *conn, deadline time.Time, stopCancel func() bool) ExchangeResult {
 	resp, body, rest, err := c.ReadResponse(ctx, deadline)
 	if err != nil {
 		b.discard(c)
@@ -252,44 +212,6 @@
 	}
 }
 
-// streamBody streams the rest of a long request body. An answer that comes meanwhile ends it,
-// since it is a rejection by the backend, and so does the end of ctx at any point of the
-// transfer.
-func streamBody(ctx context.Context, c *conn, req *Request) error {
-	c.SetReadDeadline(time.Time{})
-	var answered atomic.Bool
-	onAnswer := func() {
-		answered.Store(true)
-		req.BodyRest.Interrupt() // the client may be slow, or wait for the answer
-	}
-	c.WatchPeer(onAnswer, onAnswer)
-	interrupted := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		req.BodyRest.Interrupt()
-		close(interrupted)
-	})
-	setDeadline := ProgressDeadlines(c.SetWriteDeadline)
-	err := req.Transfers.Forward(c.Conn, req.BodyRest, false, func(transferred int64) error {
-		if answered.Load() {
-			return errEarlyAnswer
-		}
-		setDeadline(transferred)
-		return ctx.Err() // checked last: setDeadline may have overwritten the deadline set at the end of ctx
-	})
-	c.UnwatchPeer()
-	cancelled := !stop()
-	if cancelled {
-		<-interrupted
-	}
-	if cancelled || answered.Load() {
-		req.BodyRest.Resume()
-	}
-	if answered.Load() && errors.Is(err, http1.ErrInterrupted) {
-		err = errEarlyAnswer
-	}
-	return err
-}
-
 var (
 	errNoDescriptor = errors.New("no file descriptor left for a connection")
 	errNotWanted    = errors.New("the request is no longer wanted")
