upstream: a connection past most of its idle timeout carries no request

What callers would see: with a short conn-idle-ms, now and then a request that crosses the backend's close of an idle connection: it may have run, so that one which must not run twice fails.

Cause: such connections are closed twice a second, and were used until then. The rest between two exchanges brings each connection nearer to that time.

Change: they are passed over where the next connection is chosen.

Result: TestExpiredConnection failed before (1 connection opened, 2 wanted).

--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -20,6 +20,9 @@
 	// preferredRest is the rest after which a connection is preferred to those that have rested
 	// for less.
 	preferredRest = 300 * time.Millisecond
+
+	// maxIdleFraction is the part of the idle timeout after which a connection has expired.
+	maxIdleFraction = 0.7
 )
 
 // conn is a connection to a backend.
@@ -38,7 +41,7 @@
 
 // takeRested takes the idle connection to use next: the newest of those that have rested for
 // preferredRest, else the one that has rested longest. It returns nil if none has rested for
-// minRest.
+// minRest and has not expired.
 func (b *Backend) takeRested() *conn {
 	for {
 		c := b.removeNextRested(time.Now())
@@ -54,6 +57,9 @@
 	defer b.mu.Unlock()
 	next := -1
 	for n, c := range b.idleConns {
+		if b.hasExpired(c, now) {
+			continue // the next CloseExpired closes it
+		}
 		if c.hasRested(now, preferredRest) || next < 0 && c.hasRested(now, minRest) {
 			next = n
 		}
@@ -165,11 +171,15 @@
 	b.discard(c)
 }
 
-// CloseExpired closes the connections that have been idle for most of the idle timeout, so that
-// no request is sent on a connection that the backend is about to close.
+// CloseExpired closes the connections that have expired.
 func (b *Backend) CloseExpired(now time.Time) {
-	const maxFraction = 0.7
-	b.closeAll(b.takeIdle(func(c *conn) bool { return float64(now.Sub(c.idleSince)) > maxFraction*float64(b.opt.IdleTimeout) }))
+	b.closeAll(b.takeIdle(func(c *conn) bool { return b.hasExpired(c, now) }))
+}
+
+// hasExpired reports whether a connection has been idle for most of the idle timeout, so that the
+// backend may be about to close it.
+func (b *Backend) hasExpired(c *conn, now time.Time) bool {
+	return float64(now.Sub(c.idleSince)) > maxIdleFraction*float64(b.opt.IdleTimeout)
 }
 
 // RemoveIdle takes all idle connections out of use without blocking. The function that it returns
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -156,6 +156,22 @@
 	}
 }
 
+// Guards against a request on a connection that the backend is about to close, which it would lose:
+// expired connections are not used, also before the next CloseExpired.
+func TestExpiredConnection(t *testing.T) {
+	server := standin.NewBackend(t, standin.Echo)
+	opt, _ := options(10)
+	b := New(server.Addr(), opt)
+	defer b.Close()
+	addIdle(t, b, opt.IdleTimeout*8/10)
+	if a := b.Exchange(newExchange(shortContext(t), get)); a.Err != nil {
+		t.Fatalf("ended in stage %d: %v", a.Stage, a.Err)
+	}
+	if opened, _ := server.ConnCounts(); opened != 2 {
+		t.Errorf("%d connections opened, want 2", opened)
+	}
+}
+
 // Guards against connections that never end their rest: when descriptors are scarce, a new connection
 // replaces the one that became idle last, so that the others come to the end of theirs.
 func TestScarceDescriptors(t *testing.T) {
