upstream: one way to take an idle connection out, whichever is chosen

Cause: three functions took a connection out of the idle ones, each with its own lock and deletion, and an attempt that waits for the end of a rest could have taken an expired one.

Change: removeIdle takes the one that a chooser names: the next rested, the one that has rested longest, the newest. Expired ones are passed over in both cases of use.

--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -44,7 +44,7 @@
 // minRest and has not expired.
 func (b *Backend) takeRested() *conn {
 	for {
-		c := b.removeNextRested(time.Now())
+		c := b.removeIdle(b.nextRested)
 		if c == nil || c.IsIdle() {
 			return c
 		}
@@ -52,11 +52,10 @@
 	}
 }
 
-func (b *Backend) removeNextRested(now time.Time) *conn {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	next := -1
-	for n, c := range b.idleConns {
+// nextRested returns the index of the connection that takeRested is to take, or -1.
+func (b *Backend) nextRested(idle []*conn) int {
+	now, next := time.Now(), -1
+	for n, c := range idle {
 		if b.hasExpired(c, now) {
 			continue // the next CloseExpired closes it
 		}
@@ -64,11 +63,29 @@
 			next = n
 		}
 	}
-	if next < 0 {
+	return next
+}
+
+// longestResting returns the index of the connection whose rest ends first, or -1.
+func (b *Backend) longestResting(idle []*conn) int {
+	now := time.Now()
+	return slices.IndexFunc(idle, func(c *conn) bool { return !b.hasExpired(c, now) })
+}
+
+// newestIdle returns the index of the connection that became idle last, or -1.
+func newestIdle(idle []*conn) int { return len(idle) - 1 }
+
+// removeIdle removes the idle connection whose index choose returns, where they are sorted by the
+// time since which they have been idle. It returns nil if the index is negative.
+func (b *Backend) removeIdle(choose func(idle []*conn) int) *conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := choose(b.idleConns)
+	if n < 0 {
 		return nil
 	}
-	c := b.idleConns[next]
-	b.idleConns = slices.Delete(b.idleConns, next, next+1)
+	c := b.idleConns[n]
+	b.idleConns = slices.Delete(b.idleConns, n, n+1)
 	return c
 }
 
@@ -78,7 +95,7 @@
 	if c := b.takeRested(); c != nil {
 		return c
 	}
-	c := b.removeLongestIdle()
+	c := b.removeIdle(b.longestResting)
 	if c == nil {
 		return nil
 	}
@@ -102,32 +119,6 @@
 	return c
 }
 
-// removeLongestIdle removes the connection that has been idle longest. It returns nil if none is
-// idle.
-func (b *Backend) removeLongestIdle() *conn {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.idleConns) == 0 {
-		return nil
-	}
-	c := b.idleConns[0]
-	b.idleConns = slices.Delete(b.idleConns, 0, 1)
-	return c
-}
-
-// removeNewestIdle removes the connection that became idle last. It returns nil if none is idle.
-func (b *Backend) removeNewestIdle() *conn {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	last := len(b.idleConns) - 1
-	if last < 0 {
-		return nil
-	}
-	c := b.idleConns[last]
-	b.idleConns = slices.Delete(b.idleConns, last, last+1)
-	return c
-}
-
 // beginRest makes a connection idle after an exchange, unless more than the answer has arrived.
 func (b *Backend) beginRest(c *conn) {
 	if c.Buffered() > 0 {
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -170,6 +170,13 @@
 	if opened, _ := server.ConnCounts(); opened != 2 {
 		t.Errorf("%d connections opened, want 2", opened)
 	}
+	b, blocked, _, _ := newBlockedBackend(t)
+	defer b.Close()
+	blocked.release <- nil
+	addIdle(t, b, opt.IdleTimeout*8/10)
+	if a := b.Exchange(context.Background(), &Request{Render: get, Timeout: time.Second}); a.Stage != ConnectTimedOut {
+		t.Errorf("late connection: ended in stage %d: %v", a.Stage, a.Err)
+	}
 }
 
 // Guards against connections that never end their rest: when descriptors are scarce, a new connection
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -241,7 +241,7 @@
 // connection replaces a resting one, so that no other idle connection has to be closed for it.
 func (b *Backend) acquireDescriptor() bool {
 	if b.opt.Descriptors.Scarce() {
-		if c := b.removeNewestIdle(); c != nil { // the others have less of their rest left
+		if c := b.removeIdle(newestIdle); c != nil { // the others have less of their rest left
 			c.Close() // and keeps its descriptor
 			return true
 		}
