proxy: connections to backends that rest are closed before any caller's

What callers saw: with few descriptors and some hundred requests a second, connections closed between two requests, which they had to send again.

Cause: connections that rest hold descriptors, the rate times 100 ms.

Change: reclaimDescriptors closes those that rest first, the newest first, and others only for what is missing then.

--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -75,6 +75,15 @@
 // newestIdle returns the index of the connection that became idle last, or -1.
 func newestIdle(idle []*conn) int { return len(idle) - 1 }
 
+// newestResting returns the index of the connection that became idle last, or -1 if it has rested.
+func newestResting(idle []*conn) int {
+	last := newestIdle(idle)
+	if last >= 0 && idle[last].hasRested(time.Now(), minRest) {
+		return -1
+	}
+	return last
+}
+
 // removeIdle removes the idle connection whose index choose returns, where they are sorted by the
 // time since which they have been idle. It returns nil if the index is negative.
 func (b *Backend) removeIdle(choose func(idle []*conn) int) *conn {
@@ -205,6 +214,19 @@
 	return len(removed) > 0
 }
 
+// CloseResting closes up to most connections that have not rested yet, the newest first, and returns
+// how many it has closed.
+func (b *Backend) CloseResting(most int) (closed int) {
+	for ; closed < most; closed++ {
+		c := b.removeIdle(newestResting)
+		if c == nil {
+			break
+		}
+		b.discard(c)
+	}
+	return closed
+}
+
 // Close closes the idle connections, closes those in use once they become idle, and cancels the
 // dials in progress.
 func (b *Backend) Close() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -380,12 +380,21 @@
 	return p.exchange(c)
 }
 
-// reclaimDescriptors frees descriptors: it closes the backend connection that has been
-// idle longest, and evicts as many client connections as there are too many.
+// reclaimDescriptors frees descriptors. Backend connections that rest after an exchange are
+// closed first, as they serve nobody at the moment. If those are too few, it closes the backend
+// connection that has been idle longest, and evicts as many client connections as there are
+// still too many.
 func (p *Proxy) reclaimDescriptors(excess int) {
+	backends := p.driver.allBackends()
+	for _, b := range backends {
+		excess -= b.CloseResting(excess)
+	}
+	if excess <= 0 {
+		return
+	}
 	var oldest *upstream.Backend
 	var since time.Time
-	for _, b := range p.driver.allBackends() {
+	for _, b := range backends {
 		if t, ok := b.OldestIdleSince(); ok && (oldest == nil || t.Before(since)) {
 			oldest, since = b, t
 		}
--- a/proxy/sockets_test.go
+++ b/proxy/sockets_test.go
@@ -117,3 +117,29 @@
 		b.Close()
 	}
 }
+
+// Guards against clients that are closed between two requests for the sake of backend connections
+// that rest: where descriptors are scarce, those are closed first.
+func TestRestingConnectionsAreClosedFirst(t *testing.T) {
+	b := standin.NewBackend(t, standin.Echo)
+	p, stop := startWithBackend(t, b)
+	defer stop()
+	const budget = 16 // scarce from 12 on
+	p.descriptors.resize(reservedDescriptors + budget)
+	kept := dialProxy(t, p)
+	if code, _ := sendRequest(t, kept, "get", 2000); code != 200 {
+		t.Fatalf("got %d", code)
+	}
+	for range 3 * budget {
+		other := dialProxy(t, p)
+		for range 2 {
+			if code, _ := sendRequest(t, other, "get", 2000); code != 200 {
+				t.Fatalf("got %d", code)
+			}
+		}
+		other.Close()
+	}
+	if code, _ := sendRequest(t, kept, "get", 2000); code != 200 {
+		t.Errorf("got %d on the connection that was kept", code)
+	}
+}
