Review case 5: a ban made at the old process is lost to the new one

Cause: sharedState.setDetached takes over what the other process has changed in the file, but tells the driver only of its own id; the next refresh finds no difference and never tells it of the rest.

Nothing is fixed.

Measured: during a replacement s-1 is taken out at the old door and s-2 within a millisecond at the new one, both with OK.

--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -3,6 +3,7 @@
 // allCases are the cases by name.
 var allCases = map[string]func(*lab) int{
 	"long-answers": longAnswers,
+	"bans":         bans,
 }
 
 // radarConfig returns the configuration of a proxy of radar-tiles-gr: lists are asked for, drains
