Review case 6: the id of an open request is accepted again during a long answer

Cause: exchange forgets a request's id when its attempt is final. For a long answer that is when its first part has come, seconds before the request ends.

Nothing is fixed.

--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -3,6 +3,7 @@
 // allCases are the cases by name.
 var allCases = map[string]func(*lab) int{
 	"long-answers": longAnswers,
+	"open-ids":     openIDs,
 	"bans":         bans,
 }
 
