--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -2,6 +2,7 @@
 
 // allCases are the cases by name.
 var allCases = map[string]func(*lab) int{
+	"late":     late,
 	"open-ids": openIDs,
 	"bans":     bans,
 }
