Review: drivers of the new cases are built like those of the earlier ones

Cause: review/build.sh builds a program from each numbered folder, and failed at one without any.

Change: each of review/4 to 6 has a main of its own; review/lab2 is a package beside them; the build tag review keeps all of it out of the default build and test run.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
-# Builds what the cases of the second review start beside the programs of the deploy file: one
-# program with the drivers and all stand-ins, from this repository and the standard library alone.
+# Builds the drivers of cases 4 to 6, which hold all stand-ins that these cases start, into bin/. They
+# need this repository and the standard library alone.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
-go build -o bin/review-lab2 ./review/lab2
+for n in 4 5 6; do
+	go build -tags review -o "bin/review-case-$n" "./review/$n"
+done
--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -1,7 +1,9 @@
-package main
+//go:build review
 
-// allCases are the cases by name.
-var allCases = map[string]func(*lab) int{
+package lab2
+
+// cases are the cases by name.
+var cases = map[string]func(*lab) int{
 	"late":     late,
 	"open-ids": openIDs,
 	"bans":     bans,
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -1,8 +1,10 @@
-// Command lab2 holds the drivers and the stand-ins of the second review's cases. Each case
-// starts the built programs as separate processes, plays clients, backends and discovery on
-// loopback addresses, writes record.txt, and exits with 0 if the rule held, 1 if it was broken
-// and 2 if the case could not run.
-package main
+//go:build review
+
+// Package lab2 holds the drivers and the stand-ins of the second review's cases. Each case starts
+// the built programs as separate processes, plays clients, backends and discovery on loopback
+// addresses, writes record.txt, and exits with 0 if the rule held, 1 if it was broken and 2 if the
+// case could not run.
+package lab2
 
 import (
 	"bufio"
@@ -63,16 +65,14 @@
 	l.logf(format, args...)
 }
 
-func main() {
-	cases := map[string]func(*lab) int{}
-	for name, run := range allCases {
-		cases[name] = run
-	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab2 CASE FOLDER, from the root of the repository")
+// Main runs a case from the root of the repository, with the case's folder as the argument.
+func Main(name string) {
+	run := cases[name]
+	if len(os.Args) != 2 || run == nil {
+		fmt.Fprintln(os.Stderr, "usage, from the root of the repository: review-case-N FOLDER")
 		os.Exit(notRun)
 	}
-	os.Exit(runCase(cases[os.Args[1]], os.Args[2]))
+	os.Exit(runCase(run, os.Args[1]))
 }
 
 func runCase(run func(*lab) int, dir string) (code int) {
--- a/review/lab2/open_ids.go
+++ b/review/lab2/open_ids.go
@@ -1,4 +1,6 @@
-package main
+//go:build review
+
+package lab2
 
 import (
 	"errors"
