--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -16,10 +16,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -105,13 +107,19 @@
 			code = notRun
 		}
 	}()
-	timeout := time.AfterFunc(110*time.Second, func() {
-		l.verdictf("the case could not run: out of time")
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-time.After(110 * time.Second):
+			l.verdictf("the case could not run: out of time")
+		case <-stopped:
+			l.verdictf("the case could not run: it was stopped")
+		}
 		l.killAll()
 		os.RemoveAll(temp)
 		os.Exit(notRun)
-	})
-	defer timeout.Stop()
+	}()
 	return run(l)
 }
 
