Review: case 4 records how many requests the proxy itself counts as open

Cause: whether a request is open while its long answer is on its way decides the case.

Change: the driver asks INFO at the proxy's door once, and the claim says what it gets.

--- a/review/lab2/open_ids.go
+++ b/review/lab2/open_ids.go
@@ -60,7 +60,8 @@
 			Group: i, State: "in_service", Capacity: 1})
 	}
 	d, listen := l.startDiscovery(targets), l.freeAddr()
-	p := l.startProxy("n1", l.writeConfig("n1", radarConfig(listen, d.addr, targets, 192, 1024)), nil, "TMPDIR="+l.temp)
+	door := l.freeAddr()
+	p := l.startProxy("n1", l.writeConfig("n1", radarConfig(listen, d.addr, targets, 192, 1024)), nil, "TMPDIR="+l.temp, "BALANCER_ADMIN="+door)
 	l.awaitReady(listen)
 
 	var whole, badServed, badEarly, badRejected atomic.Int64
@@ -100,6 +101,7 @@
 		tasks.Go(func() { ask(n) })
 		time.Sleep(200 * time.Millisecond)
 	}
+	l.logf("all answers are on their way; the proxy's own count of requests taken and not ended: %s", openRequests(door))
 	tasks.Wait()
 	l.check(exitedEarly(p))
 	l.keepLog(p, "bad_request", "request_end", "stats")
@@ -121,3 +123,21 @@
 	}
 	return ruleHeld
 }
+
+// openRequests returns the line of INFO that counts the open requests.
+func openRequests(door string) string {
+	c, err := net.DialTimeout("tcp", door, time.Second)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	io.WriteString(c, "INFO\n")
+	text, _ := io.ReadAll(c)
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "balancer_open_requests ") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return "none"
+}
