--- a/review/lab2/bans.go
+++ b/review/lab2/bans.go
@@ -119,11 +119,13 @@
 	time.Sleep(2 * time.Second)
 	out := map[string]time.Time{} // since when
 	if l.trouble {
+		begun := time.Now()
 		_, newerDoor := start("new")
 		awaitYes(newerDoor)
-		l.logf("the new process says yes")
+		l.logf("the new process says yes, %.2f s after its start (due within 6 s)", time.Since(begun).Seconds())
 		out["s-1"] = call(olderDoor, "DETACH s-1")
 		out["s-2"] = call(newerDoor, "DETACH s-2")
+		l.logf("the second yes came %.1f ms after the first", float64(out["s-2"].Sub(out["s-1"]).Microseconds())/1000)
 		time.Sleep(200 * time.Millisecond)
 		l.logf("SIGTERM to the old process")
 		older.cmd.Process.Signal(syscall.SIGTERM)
--- a/review/lab2/late.go
+++ b/review/lab2/late.go
@@ -97,7 +97,12 @@
 	var latencies []time.Duration
 	overTold := 0
 	var asks sync.WaitGroup
+	open, mostOpen := 0, 0
 	for n := range requests {
+		mu.Lock()
+		open++
+		mostOpen = max(mostOpen, open)
+		mu.Unlock()
 		asks.Go(func() {
 			id := fmt.Sprintf("%016x", 0x5eed0000+n)
 			began := time.Now()
@@ -105,6 +110,7 @@
 			took := time.Since(began)
 			mu.Lock()
 			defer mu.Unlock()
+			open--
 			latencies = append(latencies, took)
 			outcome := fmt.Sprint(status)
 			switch {
@@ -132,6 +138,8 @@
 	l.check(exitedEarly(p))
 	l.keepLog(p, "stats", "panic", "accept_failed")
 	slices.Sort(latencies)
+	l.logf("limits: %d descriptors, a third of them for requests of usual clients (%d): at most %d of these at once, each with %v (252 to 330 ms by the site)",
+		sockets, sockets/3, mostOpen, timeout)
 	l.logf("bad clients: %d half requests, answered with an error %d, closed %d, at most %.2f s after they connected",
 		badSent.Load(), badAnswered.Load(), badClosed.Load(), time.Duration(badWorst.Load()).Seconds())
 	l.verdictf("usual clients, with %v each: answered over %v after their time=%d of %d; median %v, at most %v; by outcome %v; attempts told over %v more than was left=%d",
--- a/review/lab2/open_ids.go
+++ b/review/lab2/open_ids.go
@@ -76,8 +76,10 @@
 					l.logf("bad client: id=%s is not open any more, not sent", id)
 					return
 				}
+				sent := time.Now()
 				status, got, err := fetch(listen, request("POST", id, "alert-signup", 3*time.Second, "copied"))
-				l.logf("bad client, %v after the usual one: id=%s status=%d, %d bytes, err=%v", after, id, status, len(got), err)
+				l.logf("bad client, sent at %.4f, %v after the usual one, whose answer was not whole by then: id=%s status=%d, %d bytes, err=%v",
+					sent.Sub(l.start).Seconds(), after, id, status, len(got), err)
 				if status == 200 {
 					badServed.Add(1)
 				} else {
