proxy: a request stays open up to the last byte of its answer

Cause: forget ended a request as a whole once its answer was decided, which for a long one is with its first part. The id belongs to the answer's last byte; only attempts, limit and backoff end with the decision.

Change: responseDecided and responseWritten in place of one call. The second comes immediately before the last byte, which a long answer writes by itself, since a larger write may wait for the client. Answers that break off or end with the connection free the id before the close. open_requests is the count of open ids, and a long answer is counted before its last byte.

Why this works: every way of writing an answer passes writeToEnd or Forward, or ends with the exchange, and the three free the id there; a client that has read to the end finds it free.

Tests of proxy, http1 and upstream pass under the race detector.

--- a/cmd/oxbowloft/request_test.go
+++ b/cmd/oxbowloft/request_test.go
@@ -190,6 +190,72 @@
 	}
 }
 
+// Guards against a request that runs twice: while its answer is on its way, however long that takes
+// and whatever form it has, its ID is rejected. Once the answer has been read to its end, the ID is
+// free at once.
+func TestDuplicateRequestIDDuringLongAnswer(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 8<<10)
+	half := len(long) / 2
+	resume := make(chan bool)
+	end := make(chan bool)
+	defer close(end)
+	b := standin.NewBackend(t, func(c *standin.Call) {
+		head, first, rest := "HTTP/1.1 200 OK\r\n", long[:half], long[half:]
+		switch c.RequestURI {
+		case "/api/length":
+			head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(long))
+		case "/api/chunks":
+			head += "Transfer-Encoding: chunked\r\n\r\n"
+			first = fmt.Sprintf("%x\r\n%s\r\n", len(first), first)
+			rest = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+		default: // delimited by the close
+			head += "\r\n"
+			defer c.Close()
+		}
+		c.WriteRaw(head + first)
+		if c.Header.Get("X-Pause") != "" {
+			select {
+			case <-resume:
+			case <-end:
+			}
+		}
+		c.WriteRaw(rest)
+	})
+	r := startWithBackends(t, b)
+	for _, uri := range []string{"/api/length", "/api/chunks", "/api/close"} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(version+uri, func(t *testing.T) {
+				withoutPause := strings.Replace(requestHead("GET", uri, "get", 2000), "HTTP/1.1", version, 1)
+				text := strings.Replace(withoutPause, "\r\n\r\n", "\r\nX-Pause: 1\r\n\r\n", 1)
+				calls := b.RequestCount()
+				c := r.dial()
+				c.send(text)
+				if _, err := c.r.Peek(1000); err != nil {
+					t.Fatal(err)
+				}
+				for range 3 {
+					if got := r.dial().roundTrip(text); got.status != 409 || !got.close {
+						t.Errorf("the ID of an answer on its way: got %d with %d bytes", got.status, len(got.body))
+					}
+				}
+				if n := b.RequestCount(); n != calls+1 {
+					t.Errorf("%d requests at the backend, want 1", n-calls)
+				}
+				resume <- true
+				for n := range 10 {
+					got := c.read()
+					if got.status != 200 || got.body != long {
+						t.Fatalf("answer %d: got %d with %d bytes", n, got.status, len(got.body))
+					}
+					c = r.dial()
+					c.send(withoutPause) // at once after the end
+				}
+				c.read()
+			})
+		}
+	}
+}
+
 // A pipelined request, sent before the response to the previous one, is never served, and the
 // previous one is answered 400.
 func TestPipelinedRequest(t *testing.T) {
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -373,6 +373,9 @@
 	return b
 }
 
+// unlimited is a ForwardOptions.BeforeWrite that sets no deadline.
+func unlimited(int64) error { return nil }
+
 // encodeChunks encodes body in chunks of one size, each with an extension, and a trailer.
 func encodeChunks(body []byte, size int) string {
 	var b strings.Builder
@@ -409,7 +412,7 @@
 				t.Errorf("%s: started before it is read", c.name)
 			}
 			sink := &scriptedConn{}
-			err = NewStreamPool(1).Forward(NewConn(sink), remaining, true, func(int64) error { return nil })
+			err = NewStreamPool(1).Forward(NewConn(sink), remaining, ForwardOptions{CloseDelimited: true, BeforeWrite: unlimited})
 			if got := append(first, sink.written.Bytes()...); err != nil || !bytes.Equal(got, body) {
 				t.Fatalf("%s, split at %v: %d bytes of %d, %v", c.name, at, len(got), len(body), err)
 			}
@@ -458,7 +461,7 @@
 	sink := &scriptedConn{}
 	sink.written.WriteString("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
 	sink.Write(EncodeChunk(first))
-	err = NewStreamPool(1).Forward(NewConn(sink), remaining, false, func(int64) error { return nil })
+	err = NewStreamPool(1).Forward(NewConn(sink), remaining, ForwardOptions{BeforeWrite: unlimited})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -75,21 +75,32 @@
 // ErrDestination marks the errors of the connection that a message is forwarded to.
 var ErrDestination = errors.New("write to the destination failed")
 
+// ForwardOptions are the options of Forward.
+type ForwardOptions struct {
+	// CloseDelimited says that the end of the connection ends a body of unknown size, which
+	// is then sent unframed.
+	CloseDelimited bool
+	// BeforeWrite is called before each write, with the number of bytes forwarded so far. It
+	// sets the write deadline, and an error of it aborts the transfer.
+	BeforeWrite func(forwarded int64) error
+	// BeforeLastByte, if set, is called immediately before the last byte of the message is
+	// written. It is not called for a message that the end of the connection ends.
+	BeforeLastByte func()
+}
+
 // Forward writes the remaining body to dst as it arrives. A body of unknown size is sent in
-// chunks, or unframed if closeDelimited is set and the end of the connection ends the body.
-// beforeWrite is called before each write with the number of bytes forwarded so far; it sets
-// the write deadline, and an error of it aborts the transfer. Errors of writing to dst are
-// marked with ErrDestination.
-func (p *StreamPool) Forward(dst *Conn, body *RemainingBody, closeDelimited bool, beforeWrite func(forwarded int64) error) error {
+// chunks unless it is delimited by the close. Errors of writing to dst are marked with
+// ErrDestination.
+func (p *StreamPool) Forward(dst *Conn, body *RemainingBody, opt ForwardOptions) error {
 	buf, err := p.acquireBuffer(acquireTimeout)
 	if err != nil {
 		return err
 	}
 	defer func() { p.buffers <- buf }()
-	chunked := body.TotalSize < 0 && !closeDelimited
+	chunked := body.TotalSize < 0 && !opt.CloseDelimited
 	forwarded := int64(0)
 	write := func(b []byte) error {
-		if err := beforeWrite(forwarded); err != nil {
+		if err := opt.BeforeWrite(forwarded); err != nil {
 			return err
 		}
 		if _, err := dst.Write(b); err != nil {
@@ -98,20 +109,36 @@
 		forwarded += int64(len(b))
 		return nil
 	}
+	// A write may block for long until the receiver takes its bytes, so that the last byte is
+	// written by itself.
+	writeEnd := func(b []byte) error {
+		if opt.BeforeLastByte == nil {
+			return write(b)
+		}
+		if err := write(b[:len(b)-1]); err != nil {
+			return err
+		}
+		opt.BeforeLastByte()
+		return write(b[len(b)-1:])
+	}
 	for {
 		n, readErr := body.Read(buf[chunkHeaderRoom : len(buf)-len(crlf)])
 		if n > 0 {
 			b := buf[chunkHeaderRoom : chunkHeaderRoom+n]
-			if chunked {
+			writePart := write
+			switch {
+			case chunked:
 				b = frameChunk(buf, n)
+			case body.bytesRead == body.TotalSize:
+				writePart = writeEnd
 			}
-			if err := write(b); err != nil {
+			if err := writePart(b); err != nil {
 				return err
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
 			if chunked {
-				return write([]byte("0\r\n\r\n"))
+				return writeEnd([]byte("0\r\n\r\n"))
 			}
 			return nil
 		}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -87,13 +87,13 @@
 		close(interrupted)
 	})
 	setDeadline := ProgressDeadlines(c.SetWriteDeadline)
-	err := req.Transfers.Forward(c.Conn, req.BodyRest, false, func(transferred int64) error {
+	err := req.Transfers.Forward(c.Conn, req.BodyRest, http1.ForwardOptions{BeforeWrite: func(transferred int64) error {
 		if answered.Load() {
 			return errEarlyAnswer
 		}
 		setDeadline(transferred)
 		return ctx.Err() // checked last: setDeadline may have overwritten the deadline set at the end of ctx
-	})
+	}})
 	c.UnwatchPeer()
 	cancelled := !stop()
 	if cancelled {
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -35,7 +35,7 @@
 	}
 	listed, avoided := o.proxy.driver.backendCounts()
 	fmt.Fprintf(&b, "balancer_relayed %d\nbalancer_open_requests %d\nbalancer_registry_entries %d\n"+
-		"balancer_out_of_rotation %d\n", o.proxy.driver.upstreamOptions.RequestsWritten.Load(), stats.openRequests.Load(), listed, avoided)
+		"balancer_out_of_rotation %d\n", o.proxy.driver.upstreamOptions.RequestsWritten.Load(), o.proxy.driver.openRequestCount(), listed, avoided)
 	b.WriteString(o.proxy.driver.violations.metrics())
 	return b.String()
 }
--- a/proxy/clients.go
+++ b/proxy/clients.go
@@ -46,7 +46,10 @@
 
 	resetOnClose bool // the connection ends in a reset: intended, or the peer is gone
 	// responseStarted is set once writing the response to the current request has begun.
-	responseStarted  bool
+	responseStarted bool
+	// onLastByte, if set, is called immediately before the last byte of the response to the
+	// current request is written.
+	onLastByte       func()
 	closedMidMessage bool // the client closed its side inside a message
 	lingerShortened  bool // lingering was limited to minLingerTime
 
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -30,7 +30,7 @@
 	balancer *logic.Balancer
 	classes  []logic.Class
 	requests map[string]*activeRequest
-	openIDs  map[string]bool // clients' ids of requests that have no response yet
+	openIDs  map[string]*activeRequest // by the clients' ids; open up to the last byte of the response
 	backends map[string]backendEntry
 	lastID   uint64
 	deferred []func()
@@ -52,7 +52,7 @@
 	leftServiceAt logic.Time // since when it is not in service
 }
 
-// activeRequest is a request that the balancing logic has not finished.
+// activeRequest is a request whose response has not been written completely.
 type activeRequest struct {
 	id           string
 	clientID     string            // id given by the client
@@ -100,7 +100,7 @@
 		upstreamOptions: upstreamOptions,
 		stats:           stats,
 		requests:        map[string]*activeRequest{},
-		openIDs:         map[string]bool{},
+		openIDs:         map[string]*activeRequest{},
 		backends:        map[string]backendEntry{},
 
 		violations: newViolations(),
@@ -143,16 +143,15 @@
 // It returns nil if a request with the same id is open already.
 func (d *driver) startRequest(clientID string, class int, budget time.Duration, retry, streamed bool) (r *activeRequest) {
 	d.withBalancer(func(now logic.Time) {
-		if d.openIDs[clientID] {
+		if d.openIDs[clientID] != nil {
 			return
 		}
-		d.openIDs[clientID] = true
 		// The balancing logic gets ids of the proxy's own, since clients may reuse
 		// theirs.
 		d.lastID++
 		r = &activeRequest{id: strconv.FormatUint(d.lastID, 36), clientID: clientID, steps: make(chan step, 2)}
 		r.idempotency = d.classes[class].Idempotency
-		d.requests[r.id] = r
+		d.requests[r.id], d.openIDs[clientID] = r, r
 		d.balancer.StartRequest(now, logic.Request{ID: r.id, Class: class, Budget: budget, ClientRetry: retry, Streamed: streamed})
 	})
 	return r
@@ -277,21 +276,43 @@
 	})
 }
 
-// forget removes a request whose response is decided. It is called before the response's
-// first byte is written: a client that has read it may reuse the id at once.
-func (d *driver) forget(r *activeRequest) {
+// responseDecided ends what serves to decide a request's response: its attempts, its timer and
+// its part in the limits. The request stays open until responseWritten. Repeated calls have no
+// effect.
+func (d *driver) responseDecided(r *activeRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.requests[r.id] != r {
-		return // the id may belong to another request by now
-	}
 	delete(d.requests, r.id)
-	delete(d.openIDs, r.clientID)
 	if r.backoffTimer != nil {
 		r.backoffTimer.Stop()
 	}
 }
 
+// responseWritten ends a request, whose id is free from then on. It is called immediately before
+// the last byte of the response is written, since a client that has read it may reuse the id at
+// once, and for a response that breaks off, before the client can notice. Repeated calls have no
+// effect.
+func (d *driver) responseWritten(r *activeRequest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.openIDs[r.clientID] == r { // the id may belong to another request by now
+		delete(d.openIDs, r.clientID)
+	}
+}
+
+// forget ends a request in whatever state it is.
+func (d *driver) forget(r *activeRequest) {
+	d.responseDecided(r)
+	d.responseWritten(r)
+}
+
+// openRequestCount returns the number of requests that have been accepted and have not ended.
+func (d *driver) openRequestCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.openIDs)
+}
+
 // balancerStates maps the states of targets to those of the balancing logic.
 var balancerStates = map[string]logic.State{
 	discovery.InService:   logic.Up,
--- a/proxy/parse.go
+++ b/proxy/parse.go
@@ -20,8 +20,8 @@
 	retry     bool
 }
 
-// errDuplicateID rejects a request with the id of another one that has no response yet: a
-// backend could mistake one for the other.
+// errDuplicateID rejects a request with the id of another one whose response has not been
+// written completely: a backend could mistake one for the other.
 var errDuplicateID = errors.New("request id is in use by an open request")
 
 // parseRequest extracts the properties of a request. An error comes with the 4xx status
--- a/proxy/recovery_test.go
+++ b/proxy/recovery_test.go
@@ -58,7 +58,7 @@
 	eventually(t, "release of all state", func() bool {
 		p.driver.mu.Lock()
 		defer p.driver.mu.Unlock()
-		return len(p.driver.requests) == 0 && len(p.driver.openIDs) == 0 && p.stats.openRequests.Load() == 0
+		return len(p.driver.requests) == 0 && len(p.driver.openIDs) == 0
 	})
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -65,9 +65,11 @@
 		p.answerBadRequest(c, http.StatusConflict, errDuplicateID)
 		return false
 	}
-	p.stats.openRequests.Add(1)
-	defer p.stats.openRequests.Add(-1)
-	defer p.driver.forget(r)
+	c.onLastByte = func() { p.driver.responseWritten(r) }
+	defer func() {
+		c.onLastByte = nil
+		p.driver.forget(r) // a response may break off, or be ended by the close
+	}()
 	defer func() { p.checkClosed(c, r, info.id) }()
 	var inFlight *step // the current attempt
 	defer func() {
@@ -91,7 +93,7 @@
 	for {
 		step := <-r.steps
 		if step.kind != stepSend {
-			p.driver.forget(r)
+			p.driver.responseDecided(r)
 		}
 		switch step.kind {
 		case stepSend:
@@ -129,7 +131,7 @@
 			p.stats.recordAttempt(result)
 			attempts = append(attempts, attemptTrace{step.uid, result, time.Since(step.sentAt)})
 			if final {
-				p.driver.forget(r)
+				p.driver.responseDecided(r)
 			}
 			switch {
 			case errors.Is(exchanged.BodyReadErr, http1.ErrStreamPoolExhausted):
@@ -314,12 +316,22 @@
 		return p.writeResponse(c, response.Status, header, response.Body, req.Close)
 	}
 	last := !req.ProtoAtLeast(1, 1) || req.Close || !p.keepConnections() // decided once: the response announces it
-	err := p.streamResponse(c, req, response, header, last)
+	counted := false
+	count := func(outcome int) {
+		if !counted {
+			outcomes[outcome].Add(1)
+		}
+		counted = true
+	}
+	err := p.streamResponse(c, req, response, header, last, func() {
+		count(fulfilled)
+		c.responseEnds()
+	})
 	response.Release(err == nil)
 	if err == nil || errors.Is(err, http1.ErrDestination) {
-		outcomes[fulfilled].Add(1)
+		count(fulfilled)
 	} else {
-		outcomes[faulted].Add(1)
+		count(faulted)
 	}
 	if err != nil { // the client must notice: neither an end of the message nor a clean close
 		p.stats.truncated.Add(1)
@@ -333,9 +345,10 @@
 }
 
 // streamResponse writes a response as it arrives from the backend. An HTTP/1.0 client
-// gets a response of unknown length up to the end of the connection.
+// gets a response of unknown length up to the end of the connection; beforeLastByte is then
+// not called.
 func (p *Proxy) streamResponse(c *clientConn, req *http.Request, response *upstream.ExchangeResult,
-	header []string, last bool) (err error) {
+	header []string, last bool, beforeLastByte func()) (err error) {
 	http10, first := !req.ProtoAtLeast(1, 1), response.Body
 	switch {
 	case response.BodyRest.TotalSize >= 0:
@@ -364,9 +377,13 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", http1.ErrDestination, err)
 	}
-	return p.streamPool.Forward(c.conn, response.BodyRest, http10, func(passed int64) error {
-		extendDeadline(passed)
-		return nil
+	return p.streamPool.Forward(c.conn, response.BodyRest, http1.ForwardOptions{
+		CloseDelimited: http10,
+		BeforeWrite: func(forwarded int64) error {
+			extendDeadline(forwarded)
+			return nil
+		},
+		BeforeLastByte: beforeLastByte,
 	})
 }
 
@@ -392,7 +409,7 @@
 	last = last || !p.keepConnections()
 	header = append(header, "Content-Length", strconv.Itoa(len(body)))
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.conn.Write(encodeResponse(status, header, body, last))
+	err := c.writeToEnd(encodeResponse(status, header, body, last))
 	c.responseStarted = true
 	if err != nil {
 		p.stats.writeFailures.Add(1)
@@ -402,6 +419,33 @@
 	return !last
 }
 
+// maxWholeWriteBytes is the size up to which a response is written at once. It fits into the
+// send buffer of a connection whose earlier responses have been read, so that the write does not
+// wait for the client.
+const maxWholeWriteBytes = 4 << 10
+
+// writeToEnd writes a complete response. The last byte of a long one is written by itself: until
+// the client has taken enough of the others, the request stays open.
+func (c *clientConn) writeToEnd(response []byte) error {
+	if len(response) > maxWholeWriteBytes {
+		beforeLast := len(response) - 1
+		if _, err := c.conn.Write(response[:beforeLast]); err != nil {
+			return err
+		}
+		response = response[beforeLast:]
+	}
+	c.responseEnds()
+	_, err := c.conn.Write(response)
+	return err
+}
+
+// responseEnds reports that the last byte of the response is about to be written.
+func (c *clientConn) responseEnds() {
+	if c.onLastByte != nil {
+		c.onLastByte()
+	}
+}
+
 // encodeResponse returns a response's head and the part of its body that is available.
 func encodeResponse(status int, header []string, body []byte, last bool) []byte {
 	b := make([]byte, 0, 256+len(body))
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -108,7 +108,7 @@
 					io.WriteString(accepted[i], request("pay", 60_000))
 				}
 				eventually(t, "accepted requests", func() bool {
-					return p.stats.openRequests.Load()+p.stats.requestsEnded(fulfilled)+p.stats.requestsEnded(throttled)+p.stats.requestsEnded(faulted) >= 4
+					return int64(p.driver.openRequestCount())+p.stats.requestsEnded(fulfilled)+p.stats.requestsEnded(throttled)+p.stats.requestsEnded(faulted) >= 4
 				})
 				stop := make(chan bool)
 				var tasks sync.WaitGroup
--- a/proxy/stats.go
+++ b/proxy/stats.go
@@ -18,8 +18,7 @@
 	clientsGone, badRequests, writeFailures, truncated atomic.Int64
 	recoveredPanics                                    atomic.Int64 // panics recovered while a request was handled
 
-	openRequests atomic.Int64                 // accepted and not ended
-	outcomes     [][outcomeCount]atomic.Int64 // by class
+	outcomes [][outcomeCount]atomic.Int64 // by class
 
 	badRequestLog logging.RateLimiter
 
