proxy: one path applies what operators change, whichever process was told

Cause: a call reads the shared file to keep what the other process changed, and put it into the copy that the look every 50 ms compares the file with. The look then found no difference, and the balancing logic was told of the call's own id alone.

Change: syncDetached compares what is shared with what the logic has been told. Nothing else detaches or attaches, and a call runs it after its change. Tests that set the driver's state beside a running proxy now use the door, or set what is shared as well, since the look would undo them.

Why this works: there is no copy that can be equal to the file while the logic isn't.

--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -55,12 +55,9 @@
 	if detach && o.proxy.shared.detachedCount() >= maxDetached {
 		return fmt.Errorf("%d backends are out by hand", maxDetached)
 	}
-	o.proxy.detachMu.Lock()
-	defer o.proxy.detachMu.Unlock()
 	if err := o.proxy.shared.setDetached(id, detach); err != nil { // it applies in this process all the same
 		log.Printf("event=bans_unwritten err=%q", err)
 	}
-	o.proxy.driver.setDetached(id, detach)
-	log.Printf("event=by_hand id=%q out=%t", id, detach)
+	o.proxy.syncDetached(id)
 	return nil
 }
--- a/proxy/connect_test.go
+++ b/proxy/connect_test.go
@@ -81,7 +81,7 @@
 			again := strings.Replace(standin.TargetJSON("s-1", old), `"boot_ms":0`, fmt.Sprintf(`"boot_ms":%d`, time.Now().UnixMilli()), 1)
 			p.applyList(t, standin.ListJSON(2, false, again, standin.TargetJSON("s-2", other)))
 		}, true},
-		{"detached", func(t *testing.T, p *Proxy, _, _ string) { p.driver.setDetached("s-1", true) }, false},
+		{"detached", func(t *testing.T, p *Proxy, _, _ string) { p.mustSetDetached(t, "s-1", true) }, false},
 		{"the list is stale", func(t *testing.T, p *Proxy, _, _ string) {
 			p.driver.setListFreshness(discovery.Freshness{Until: time.Now()})
 		}, false},
@@ -215,7 +215,7 @@
 	p.cfg.Grace = time.Millisecond
 	defer startProxy(t, p)()
 	for _, detached := range []bool{false, true} {
-		p.driver.setDetached("s-1", detached)
+		p.mustSetDetached(t, "s-1", detached)
 		near, far := net.Pipe()
 		c := &clientConn{waitStart: time.Now(), conn: http1.NewConn(writeHookConn{far, func() {
 			p.driver.mu.Lock()
--- /dev/null
+++ b/proxy/detachments_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"oxbowloft/internal/standin"
+)
+
+// mustSetDetached detaches or attaches a backend as an operator does.
+func (p *Proxy) mustSetDetached(t *testing.T, id string, detach bool) {
+	t.Helper()
+	if err := (adminTarget{p}).setDetached(id, detach); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// setDetached detaches or attaches one backend and leaves all others as they are.
+func (d *driver) setDetached(id string, detach bool) {
+	backends := d.detachedBackends()
+	updateDetachedSet(backends, id, detach)
+	d.applyDetached(backends)
+}
+
+// detachedBackends returns a copy of the set that the driver has applied.
+func (d *driver) detachedBackends() map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.detached)
+}
+
+// listenProxiesInDir returns proxies that share a directory as a process and its replacements
+// do. They don't run: the test decides when each looks for changes, with syncDetached.
+func listenProxiesInDir(t *testing.T, dir string, n int) []*Proxy {
+	t.Helper()
+	known := standin.ListJSON(1, true, standin.TargetJSON("s-1", "127.0.0.1:1"), standin.TargetJSON("s-2", "127.0.0.1:2"))
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(standin.Config("127.0.0.1:0", "127.0.0.1:1", 256, known)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var proxies []*Proxy
+	for range n {
+		cfg, err := Load(path, func(name string) string { return map[string]string{"TMPDIR": dir}[name] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Listen(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			p.listener.Close()
+			p.shared.close()
+		})
+		proxies = append(proxies, p)
+	}
+	return proxies
+}
+
+// sharedStep is a call at the admin endpoint of one process, or its look for changes.
+type sharedStep struct {
+	process int
+	id      string // empty: a look for changes
+	detach  bool
+}
+
+func (s sharedStep) String() string {
+	switch {
+	case s.id == "":
+		return fmt.Sprintf("look at %d", s.process)
+	case s.detach:
+		return fmt.Sprintf("DETACH %s at %d", s.id, s.process)
+	}
+	return fmt.Sprintf("ATTACH %s at %d", s.id, s.process)
+}
+
+func (s sharedStep) do(p *Proxy) error {
+	switch {
+	case s.id == "":
+		p.syncDetached("")
+		return nil
+	case s.detach:
+		return adminTarget{p}.Detach(s.id)
+	}
+	return adminTarget{p}.Attach(s.id)
+}
+
+// Guards against a call that was answered with OK and does not bind the other process: for
+// three calls at two processes, of any kind and order, with or without a look for changes in
+// between, both processes and one that starts then agree with the calls.
+func TestCallsBindAllProcesses(t *testing.T) {
+	var steps []sharedStep
+	for process := range 2 {
+		steps = append(steps, sharedStep{process: process})
+		for _, id := range []string{"s-1", "s-2"} {
+			steps = append(steps, sharedStep{process, id, true}, sharedStep{process, id, false})
+		}
+	}
+	dir := t.TempDir()
+	proxies := listenProxiesInDir(t, dir, 2)
+	failed := 0
+	check := func(sequence []sharedStep) {
+		want := map[string]bool{}
+		for _, s := range sequence {
+			if err := s.do(proxies[s.process]); err != nil {
+				t.Fatalf("%v: %v: %v", sequence, s, err)
+			}
+			if s.id != "" {
+				updateDetachedSet(want, s.id, s.detach)
+			}
+		}
+		starting := listenProxiesInDir(t, dir, 1)[0]
+		for i, p := range append(proxies, starting) {
+			p.syncDetached("")
+			if got := p.driver.detachedBackends(); !maps.Equal(got, want) {
+				failed++
+				t.Errorf("%v: process %d has detached %v, want %v", sequence, i, got, want)
+			}
+		}
+		starting.shared.close()
+		starting.listener.Close()
+		for _, id := range []string{"s-1", "s-2"} {
+			if err := (adminTarget{proxies[0]}).Attach(id); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, p := range proxies {
+			p.syncDetached("")
+		}
+		if failed > 10 {
+			t.FailNow()
+		}
+	}
+	for _, first := range steps {
+		for _, second := range steps {
+			for _, third := range steps {
+				check([]sharedStep{first, second, third})
+			}
+		}
+	}
+}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -422,15 +422,24 @@
 	return known
 }
 
-// setDetached detaches or attaches a backend. It has taken effect on return.
-func (d *driver) setDetached(id string, detach bool) {
+// applyDetached detaches the given backends and attaches all others. It has taken effect on
+// return, and reports which backends it has detached and attached.
+func (d *driver) applyDetached(backends map[string]bool) (detached, attached []string) {
 	d.withBalancer(func(now logic.Time) {
-		if detach {
-			d.detached[id] = true
-			d.balancer.Detach(id)
-		} else {
-			delete(d.detached, id)
-			d.balancer.Attach(now, id)
+		for id := range backends {
+			if !d.detached[id] {
+				d.detached[id] = true
+				d.balancer.Detach(id)
+				detached = append(detached, id)
+			}
+		}
+		for id := range d.detached {
+			if !backends[id] {
+				delete(d.detached, id)
+				d.balancer.Attach(now, id)
+				attached = append(attached, id)
+			}
 		}
 	})
+	return detached, attached
 }
--- a/proxy/guard_test.go
+++ b/proxy/guard_test.go
@@ -19,23 +19,28 @@
 	for _, c := range []struct {
 		name   string
 		guard  guard
-		inject func(d *driver)
+		inject func(p *Proxy)
 	}{
-		{"sent to a draining backend", guardSend, func(d *driver) {
-			at := d.backends["s-1"]
+		{"sent to a draining backend", guardSend, func(p *Proxy) {
+			at := p.driver.backends["s-1"]
 			at.state = logic.Draining
-			d.backends["s-1"] = at
+			p.driver.backends["s-1"] = at
 		}},
-		{"sent to a detached backend", guardSend, func(d *driver) { d.detached["s-1"] = true }},
-		{"none", guardCount, func(*driver) {}},
+		{"sent to a detached backend", guardSend, func(p *Proxy) {
+			p.shared.detached = map[string]bool{"s-1": true} // as is shared, so that it stays
+			p.driver.detached["s-1"] = true
+		}},
+		{"none", guardCount, func(*Proxy) {}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := listenProxy(t, standin.ListJSON(1, true, standin.TargetJSON("s-1", b.Addr())), "127.0.0.1:1")
 			p.cfg.Grace = time.Millisecond
 			defer startProxy(t, p)()
+			p.detachMu.Lock()
 			p.driver.mu.Lock()
-			c.inject(p.driver)
+			c.inject(p)
 			p.driver.mu.Unlock()
+			p.detachMu.Unlock()
 			sentBefore := b.RequestCount()
 			code, _ := sendRequest(t, dialProxy(t, p), "get", 2000)
 			for g := range guardCount {
--- a/proxy/processes.go
+++ b/proxy/processes.go
@@ -19,21 +19,29 @@
 		}
 		p.setNonblocking()
 		p.setProcessCount(p.shared.processCount())
-		p.syncDetached()
+		p.syncDetached("")
 	}
 }
 
-func (p *Proxy) syncDetached() {
+// syncDetached applies what operators have changed, here and at other processes, and logs it.
+// No other code detaches or attaches a backend. ownID is the backend that was changed at the
+// admin endpoint of this process, or empty.
+func (p *Proxy) syncDetached(ownID string) {
 	p.detachMu.Lock()
 	defer p.detachMu.Unlock()
-	detached, attached := p.shared.refresh()
+	detached, attached := p.driver.applyDetached(p.shared.current())
+	logChange := func(id string, out bool) {
+		origin := " from=state"
+		if id == ownID {
+			origin = ""
+		}
+		log.Printf("event=by_hand id=%q out=%t%s", id, out, origin)
+	}
 	for _, id := range detached {
-		p.driver.setDetached(id, true)
-		log.Printf("event=by_hand id=%q out=true from=state", id)
+		logChange(id, true)
 	}
 	for _, id := range attached {
-		p.driver.setDetached(id, false)
-		log.Printf("event=by_hand id=%q out=false from=state", id)
+		logChange(id, false)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -81,7 +81,7 @@
 	adminEndpoint    *admin.Server // nil: none
 	tasks            sync.WaitGroup
 
-	detachMu sync.Mutex // held while a backend is detached or attached, in shared and driver
+	detachMu sync.Mutex // held while the detachments in shared are applied in driver
 	shared   *sharedState
 
 	limitsMu     sync.Mutex
@@ -217,7 +217,7 @@
 		log.Printf("event=state_failed err=%q", err) // it serves, but without knowledge of other processes
 	}
 	p.setProcessCount(p.shared.processCount())
-	p.syncDetached()
+	p.syncDetached("")
 	if p.cfg.Admin != "" { // before serving, so that it can report not ready
 		if p.adminEndpoint, err = admin.Listen(p.cfg.Admin, adminTarget{p}); err != nil {
 			p.listener.Close()
--- a/proxy/recovery_test.go
+++ b/proxy/recovery_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -74,14 +75,14 @@
 	if err := s.setDetached("s-1", true); err == nil {
 		t.Fatal("written onto a directory")
 	}
-	if detached, attached := s.refresh(); len(detached)+len(attached) > 0 || !s.detached["s-1"] {
-		t.Errorf("the detachment does not apply here: detached %v, attached %v", detached, attached)
+	if got := s.current(); !maps.Equal(got, map[string]bool{"s-1": true}) {
+		t.Errorf("the detachment does not apply here: detached %v", got)
 	}
 	if err := os.RemoveAll(s.detachedPath); err != nil {
 		t.Fatal(err)
 	}
 	for until := time.Now().Add(5 * time.Second); time.Now().Before(until) && !openTestState(t, dir).isDetached("s-1"); {
-		s.refresh()
+		s.current()
 		time.Sleep(20 * time.Millisecond)
 	}
 	if !openTestState(t, dir).isDetached("s-1") {
@@ -91,9 +92,8 @@
 
 // isDetached reports whether a state that has just been opened has a backend detached.
 func (s *sharedState) isDetached(id string) bool {
-	s.refresh()
 	defer s.close()
-	return s.detached[id]
+	return s.current()[id]
 }
 
 // Files of a process that was killed during a write are removed by the next one, and the
@@ -111,8 +111,7 @@
 	s.close()
 	next := openTestState(t, dir)
 	defer next.close()
-	next.refresh()
-	if !next.detached["s-1"] {
+	if !next.current()["s-1"] {
 		t.Error("the detachment is lost")
 	}
 	entries, err := os.ReadDir(dir)
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -137,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lockFile == nil {
-		s.detached = maps.Clone(s.detached) // copied: refresh compares the old set with the new one
+		s.detached = maps.Clone(s.detached) // copied: callers of current keep the old set
 		updateDetachedSet(s.detached, id, detach)
 		return nil
 	}
@@ -181,32 +181,21 @@
 	return nil
 }
 
-// refresh reads the detached backends again if the file has changed. It returns which
-// backends became detached and which became attached.
-func (s *sharedState) refresh() (detached, attached []string) {
+// current returns the detached backends, whichever process has detached them. It reads them
+// again if the file has changed. The caller must not modify the set.
+func (s *sharedState) current() map[string]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lockFile == nil {
-		return nil, nil
+		return s.detached
 	}
-	before := s.detached
 	s.reloadFile()
 	if len(s.unwritten) > 0 && time.Since(s.lastWriteAttempt) >= writeRetryInterval {
 		if err := s.writePending(); err == nil {
 			log.Printf("event=bans_written_late")
 		}
 	}
-	for id := range s.detached {
-		if !before[id] {
-			detached = append(detached, id)
-		}
-	}
-	for id := range before {
-		if !s.detached[id] {
-			attached = append(attached, id)
-		}
-	}
-	return detached, attached
+	return s.detached
 }
 
 // reloadFile replaces the set of detached backends with that of the file if the file has
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -59,22 +59,26 @@
 			t.Fatal(err)
 		}
 	}
-	change(a, "s-1", true)
-	change(b, "s-2 \"\n", true) // before b has read the change of a
-	if detached, attached := a.refresh(); !slices.Equal(detached, []string{"s-2 \"\n"}) || attached != nil {
-		t.Errorf("a reads %q as detached, %q as attached", detached, attached)
-	}
-	if detached, attached := a.refresh(); detached != nil || attached != nil {
-		t.Errorf("a reads again %q as detached, %q as attached", detached, attached)
+	want := func(s *sharedState, name string, ids ...string) {
+		t.Helper()
+		wanted := map[string]bool{}
+		for _, id := range ids {
+			wanted[id] = true
+		}
+		if got := s.current(); !maps.Equal(got, wanted) {
+			t.Errorf("%s has %v detached, want %v", name, got, wanted)
+		}
 	}
+	const odd = "s-2 \"\n"
+	change(a, "s-1", true)
+	change(b, odd, true) // before b has read the change of a
+	want(a, "a", "s-1", odd)
+	want(a, "a, again,", "s-1", odd)
+	want(b, "b", "s-1", odd)
 	change(b, "s-1", false)
-	if detached, attached := a.refresh(); detached != nil || !slices.Equal(attached, []string{"s-1"}) {
-		t.Errorf("a reads %q as detached, %q as attached", detached, attached)
-	}
-	c := openTestState(t, dir)
-	if detached, _ := c.refresh(); !slices.Equal(detached, []string{"s-2 \"\n"}) {
-		t.Errorf("a new process starts with %q", detached)
-	}
+	want(a, "a", odd)
+	want(b, "b", odd)
+	want(openTestState(t, dir), "a new process", odd)
 }
 
 // Corrupt files, or files left by another process, are logged in one line, known
@@ -90,17 +94,17 @@
 		if err := os.WriteFile(s.detachedPath, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if detached, attached := s.refresh(); detached != nil || attached != nil {
-			t.Errorf("%.20q: reads %q as detached, %q as attached", text, detached, attached)
+		if got := s.current(); !maps.Equal(got, map[string]bool{"s-9": true}) {
+			t.Errorf("%.20q: reads %v as detached", text, got)
 		}
-		if detached, attached := openTestState(t, dir).refresh(); detached != nil || attached != nil {
-			t.Errorf("%.20q: starts with %q detached, %q attached", text, detached, attached)
+		if got := openTestState(t, dir).current(); len(got) > 0 {
+			t.Errorf("%.20q: starts with %v detached", text, got)
 		}
 		if err := s.setDetached("s-8", true); err != nil {
 			t.Fatal(err)
 		}
-		if detached, _ := openTestState(t, dir).refresh(); len(detached) != 2 {
-			t.Errorf("%.20q: after a change a new process starts with %q", text, detached)
+		if got := openTestState(t, dir).current(); !maps.Equal(got, map[string]bool{"s-8": true, "s-9": true}) {
+			t.Errorf("%.20q: after a change a new process starts with %v", text, got)
 		}
 	}
 }
@@ -127,8 +131,8 @@
 	if err := s.setDetached("s-2", true); err == nil {
 		t.Error("no error for a detachment that was not written")
 	}
-	if detached, attached := s.refresh(); detached != nil || attached != nil || !s.detached["s-1"] || !s.detached["s-2"] {
-		t.Errorf("detachments are lost with their directory: %v", s.detached)
+	if got := s.current(); !maps.Equal(got, map[string]bool{"s-1": true, "s-2": true}) {
+		t.Errorf("detachments are lost with their directory: %v", got)
 	}
 }
 
