proxy: a call out or back has its OK once every process is bound to it

What operators would see: OK for a change that a replacement knows nothing of: with a full disk or no $TMPDIR it applied in one process, and was lost with it; beside a suspended process it was written without the lock and undone by that one's write; a change written late undid a later one that had got its OK.

Cause: the answer said that the change applies here, not that it is in the file; a change had no time, so that the later one of two was the one written later.

The latest change of each backend stands with its time (CLOCK_MONOTONIC) in a second file; the list of those out keeps its form. The list is read and compared as text, not by time and size of the file. A directory that could not be used at the start is tried again.

Tests changed: TestChangeLockIsHeld asked for the write without the lock, which loses a change, and now asks for an answer within the caller's second and for both processes' changes in the end. TestNoSharedState asked for a yes in a missing directory, and now for a no, and for the write once there is one.

Measured: TestLateWriteUndoesNothing and TestChangeKilledBetweenItsWrites are new.

--- a/internal/sourcecheck/wallclock_test.go
+++ b/internal/sourcecheck/wallclock_test.go
@@ -25,7 +25,7 @@
 	"internal/soak/registry.go: UnixMilli":   "start timestamps that the discovery test server reports",
 	"proxy/clock.go: UnixNano":               "start timestamps from discovery are Unix time; read once, at the start",
 	"internal/scale/report/markdown.go: UTC": "date of a run in its report",
-	"proxy/state.go: ModTime":                "only compared for equality, to detect that a file has changed",
+	"proxy/clock.go: ClockGettime":           "CLOCK_MONOTONIC, which is not stepped and which all processes on a machine share",
 	"internal/http1/conn.go: Unix":           "constant time in the past, for a deadline that has expired whatever the clock says",
 	"fleet/agree/store_record.go: Unix":      "stored with a log entry, as the library requires; no decision depends on it",
 	"fleet/agree/store_record.go: UnixNano":  "the same",
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -40,24 +40,30 @@
 	return b.String()
 }
 
-var errUnknownBackend = errors.New("nobody has this id")
+var (
+	errUnknownBackend = errors.New("nobody has this id")
+	errNotShared      = errors.New("in effect at this process, not yet at others")
+)
 
-// Detach takes a backend out of service, in this process and in the one that replaces it.
+// Detach takes a backend out of service, in this process and in all others that run or start.
+// After an error it may be in effect in this process alone.
 func (o adminTarget) Detach(id string) error { return o.setDetached(id, true) }
 
 // Attach ends a detachment.
 func (o adminTarget) Attach(id string) error { return o.setDetached(id, false) }
 
 func (o adminTarget) setDetached(id string, detach bool) error {
-	if !o.proxy.driver.knows(id) {
+	p := o.proxy
+	p.syncDetached() // another process may have made the backend known, or taken it out
+	if !p.driver.knows(id) {
 		return errUnknownBackend
 	}
-	if detach && o.proxy.shared.detachedCount() >= maxDetached {
-		return fmt.Errorf("%d backends are out by hand", maxDetached)
+	if err := p.changeDetached(id, detach); err != nil {
+		return err
 	}
-	if err := o.proxy.shared.setDetached(id, detach); err != nil { // it applies in this process all the same
+	if err := p.shared.flush(); err != nil {
 		log.Printf("event=bans_unwritten err=%q", err)
+		return fmt.Errorf("%w: %w", errNotShared, err)
 	}
-	o.proxy.syncDetached(id)
 	return nil
 }
--- a/proxy/clock.go
+++ b/proxy/clock.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"oxbowloft/internal/discovery"
 	"oxbowloft/internal/faults"
 	"oxbowloft/logic"
@@ -34,6 +36,16 @@
 	return c.at(t)
 }
 
+// monotonicNow returns the time of a clock that all processes on this machine share and that
+// is not stepped. It begins anew with the machine.
+func monotonicNow() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
+		return 0
+	}
+	return time.Duration(now.Nano())
+}
+
 // startTime returns when a backend started, from the timestamp that discovery announces
 // and from what this process knows itself; 0 means long ago. Clocks of machines may have
 // been stepped, so a timestamp is accepted only if it is possible: the start is not later
--- a/proxy/detachments_test.go
+++ b/proxy/detachments_test.go
@@ -21,10 +21,18 @@
 // setDetached detaches or attaches one backend and leaves all others as they are.
 func (d *driver) setDetached(id string, detach bool) {
 	backends := d.detachedBackends()
-	updateDetachedSet(backends, id, detach)
+	setMember(backends, id, detach)
 	d.applyDetached(backends)
 }
 
+func setMember(set map[string]bool, id string, member bool) {
+	if member {
+		set[id] = true
+	} else {
+		delete(set, id)
+	}
+}
+
 // detachedBackends returns a copy of the set that the driver has applied.
 func (d *driver) detachedBackends() map[string]bool {
 	d.mu.Lock()
@@ -83,7 +91,7 @@
 func (s sharedStep) do(p *Proxy) error {
 	switch {
 	case s.id == "":
-		p.syncDetached("")
+		p.syncDetached()
 		return nil
 	case s.detach:
 		return adminTarget{p}.Detach(s.id)
@@ -112,12 +120,12 @@
 				t.Fatalf("%v: %v: %v", sequence, s, err)
 			}
 			if s.id != "" {
-				updateDetachedSet(want, s.id, s.detach)
+				setMember(want, s.id, s.detach)
 			}
 		}
 		starting := listenProxiesInDir(t, dir, 1)[0]
 		for i, p := range append(proxies, starting) {
-			p.syncDetached("")
+			p.syncDetached()
 			if got := p.driver.detachedBackends(); !maps.Equal(got, want) {
 				failed++
 				t.Errorf("%v: process %d has detached %v, want %v", sequence, i, got, want)
@@ -131,7 +139,7 @@
 			}
 		}
 		for _, p := range proxies {
-			p.syncDetached("")
+			p.syncDetached()
 		}
 		if failed > 10 {
 			t.FailNow()
--- a/proxy/guard_test.go
+++ b/proxy/guard_test.go
@@ -27,7 +27,7 @@
 			p.driver.backends["s-1"] = at
 		}},
 		{"sent to a detached backend", guardSend, func(p *Proxy) {
-			p.shared.detached = map[string]bool{"s-1": true} // as is shared, so that it stays
+			p.shared.known.detached["s-1"] = true // as is shared, so that it stays
 			p.driver.detached["s-1"] = true
 		}},
 		{"none", guardCount, func(*Proxy) {}},
--- a/proxy/processes.go
+++ b/proxy/processes.go
@@ -19,29 +19,40 @@
 		}
 		p.setNonblocking()
 		p.setProcessCount(p.shared.processCount())
-		p.syncDetached("")
+		p.syncDetached()
+		p.shared.retry()
 	}
 }
 
-// syncDetached applies what operators have changed, here and at other processes, and logs it.
-// No other code detaches or attaches a backend. ownID is the backend that was changed at the
-// admin endpoint of this process, or empty.
-func (p *Proxy) syncDetached(ownID string) {
+// syncDetached applies what operators have changed, here and at other processes.
+func (p *Proxy) syncDetached() {
 	p.detachMu.Lock()
 	defer p.detachMu.Unlock()
-	detached, attached := p.driver.applyDetached(p.shared.current())
-	logChange := func(id string, out bool) {
-		origin := " from=state"
-		if id == ownID {
-			origin = ""
-		}
-		log.Printf("event=by_hand id=%q out=%t%s", id, out, origin)
+	p.applyDetached(" from=state")
+}
+
+// changeDetached makes an operator's change in this process.
+func (p *Proxy) changeDetached(id string, detach bool) error {
+	p.detachMu.Lock()
+	defer p.detachMu.Unlock()
+	p.applyDetached(" from=state") // so that what follows is of this change alone
+	if err := p.shared.propose(id, detach); err != nil {
+		return err
 	}
+	p.applyDetached("")
+	return nil
+}
+
+// applyDetached tells the balancing logic which backends are detached now, and logs what has
+// changed with its origin. No other code detaches or attaches a backend. The caller holds
+// detachMu.
+func (p *Proxy) applyDetached(origin string) {
+	detached, attached := p.driver.applyDetached(p.shared.current().detached)
 	for _, id := range detached {
-		logChange(id, true)
+		log.Printf("event=by_hand id=%q out=true%s", id, origin)
 	}
 	for _, id := range attached {
-		logChange(id, false)
+		log.Printf("event=by_hand id=%q out=false%s", id, origin)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -217,7 +217,7 @@
 		log.Printf("event=state_failed err=%q", err) // it serves, but without knowledge of other processes
 	}
 	p.setProcessCount(p.shared.processCount())
-	p.syncDetached("")
+	p.syncDetached()
 	if p.cfg.Admin != "" { // before serving, so that it can report not ready
 		if p.adminEndpoint, err = admin.Listen(p.cfg.Admin, adminTarget{p}); err != nil {
 			p.listener.Close()
--- a/proxy/recovery_test.go
+++ b/proxy/recovery_test.go
@@ -68,21 +68,21 @@
 func TestDetachmentWrittenLater(t *testing.T) {
 	dir := t.TempDir()
 	s := openTestState(t, dir)
-	blocker := filepath.Join(s.detachedPath, "in the way") // makes the rename fail
+	blocker := filepath.Join(s.files.detachedPath, "in the way") // makes the rename fail
 	if err := os.MkdirAll(blocker, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.setDetached("s-1", true); err == nil {
+	if err := s.change("s-1", true); err == nil {
 		t.Fatal("written onto a directory")
 	}
-	if got := s.current(); !maps.Equal(got, map[string]bool{"s-1": true}) {
+	if got := s.current().detached; !maps.Equal(got, map[string]bool{"s-1": true}) {
 		t.Errorf("the detachment does not apply here: detached %v", got)
 	}
-	if err := os.RemoveAll(s.detachedPath); err != nil {
+	if err := os.RemoveAll(s.files.detachedPath); err != nil {
 		t.Fatal(err)
 	}
 	for until := time.Now().Add(5 * time.Second); time.Now().Before(until) && !openTestState(t, dir).isDetached("s-1"); {
-		s.current()
+		s.retry()
 		time.Sleep(20 * time.Millisecond)
 	}
 	if !openTestState(t, dir).isDetached("s-1") {
@@ -93,7 +93,7 @@
 // isDetached reports whether a state that has just been opened has a backend detached.
 func (s *sharedState) isDetached(id string) bool {
 	defer s.close()
-	return s.current()[id]
+	return s.current().detached[id]
 }
 
 // Files of a process that was killed during a write are removed by the next one, and the
@@ -101,17 +101,17 @@
 func TestPartialWriteOfDetachments(t *testing.T) {
 	dir := t.TempDir()
 	s := openTestState(t, dir)
-	if err := s.setDetached("s-1", true); err != nil {
+	if err := s.change("s-1", true); err != nil {
 		t.Fatal(err)
 	}
-	partial := s.detachedPath + ".new123"
+	partial := s.files.detachedPath + ".new123"
 	if err := os.WriteFile(partial, []byte(`["s-1","s-`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s.close()
 	next := openTestState(t, dir)
 	defer next.close()
-	if !next.current()["s-1"] {
+	if !next.current().detached["s-1"] {
 		t.Error("the detachment is lost")
 	}
 	entries, err := os.ReadDir(dir)
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -6,9 +6,10 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
+
+	"oxbowloft/internal/standin"
 )
 
 func openTestState(t *testing.T, dir string) *sharedState {
@@ -55,7 +56,7 @@
 	a, b := openTestState(t, dir), openTestState(t, dir)
 	change := func(s *sharedState, id string, detach bool) {
 		t.Helper()
-		if err := s.setDetached(id, detach); err != nil {
+		if err := s.change(id, detach); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -65,7 +66,7 @@
 		for _, id := range ids {
 			wanted[id] = true
 		}
-		if got := s.current(); !maps.Equal(got, wanted) {
+		if got := s.current().detached; !maps.Equal(got, wanted) {
 			t.Errorf("%s has %v detached, want %v", name, got, wanted)
 		}
 	}
@@ -88,67 +89,186 @@
 		`["` + strings.Repeat("x", maxDetachedFileBytes) + `"]`, fmt.Sprintf("[%s]", strings.Repeat(`"a",`, 2*maxDetached)+`"a"`)} {
 		dir := t.TempDir()
 		s := openTestState(t, dir)
-		if err := s.setDetached("s-9", true); err != nil {
+		if err := s.change("s-9", true); err != nil {
 			t.Fatal(err)
 		}
-		if err := os.WriteFile(s.detachedPath, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(s.files.detachedPath, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if got := s.current(); !maps.Equal(got, map[string]bool{"s-9": true}) {
+		if got := s.current().detached; !maps.Equal(got, map[string]bool{"s-9": true}) {
 			t.Errorf("%.20q: reads %v as detached", text, got)
 		}
-		if got := openTestState(t, dir).current(); len(got) > 0 {
+		if got := openTestState(t, dir).current().detached; len(got) > 0 {
 			t.Errorf("%.20q: starts with %v detached", text, got)
 		}
-		if err := s.setDetached("s-8", true); err != nil {
+		if err := s.change("s-8", true); err != nil {
 			t.Fatal(err)
 		}
-		if got := openTestState(t, dir).current(); !maps.Equal(got, map[string]bool{"s-8": true, "s-9": true}) {
+		if got := openTestState(t, dir).current().detached; !maps.Equal(got, map[string]bool{"s-8": true, "s-9": true}) {
 			t.Errorf("%.20q: after a change a new process starts with %v", text, got)
 		}
 	}
 }
 
-// Without a directory, or with one that can't be written to, detachments apply in this
-// process alone.
+// Without a directory, detachments apply in this process alone, and so they do as long as the
+// directory can't be used, which a call is told. They are written once it can.
 func TestNoSharedState(t *testing.T) {
 	s, err := openSharedState("", "127.0.0.1:3000")
-	if err != nil || s.processCount() != 1 || s.setDetached("s-1", true) != nil || !s.detached["s-1"] {
-		t.Errorf("without a directory: %v, %v", err, s.detached)
+	if err != nil || s.processCount() != 1 || s.change("s-1", true) != nil || !s.current().detached["s-1"] {
+		t.Errorf("without a directory: %v, %v", err, s.current())
+	}
+	missing := filepath.Join(t.TempDir(), "missing")
+	s, err = openSharedState(missing, "127.0.0.1:3000")
+	defer s.close()
+	if err == nil || s.processCount() != 1 || s.change("s-1", true) == nil || !s.current().detached["s-1"] {
+		t.Errorf("in a missing directory: %v, %v", err, s.current())
+	}
+	if err := os.Mkdir(missing, 0o700); err != nil {
+		t.Fatal(err)
 	}
-	s, err = openSharedState(filepath.Join(t.TempDir(), "missing"), "127.0.0.1:3000")
-	if err == nil || s.processCount() != 1 || s.setDetached("s-1", true) != nil || !s.detached["s-1"] {
-		t.Errorf("in a missing directory: %v, %v", err, s.detached)
+	s.awaitWritten(t)
+	if !openTestState(t, missing).current().detached["s-1"] || openTestState(t, missing).processCount() < 2 {
+		t.Error("a process that starts once there is a directory knows nothing of this one")
 	}
 	dir := t.TempDir()
 	s = openTestState(t, dir)
-	if err := s.setDetached("s-1", true); err != nil {
+	if err := s.change("s-1", true); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.RemoveAll(dir); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.setDetached("s-2", true); err == nil {
+	if err := s.change("s-2", true); err == nil {
 		t.Error("no error for a detachment that was not written")
 	}
-	if got := s.current(); !maps.Equal(got, map[string]bool{"s-1": true, "s-2": true}) {
+	if got := s.current().detached; !maps.Equal(got, map[string]bool{"s-1": true, "s-2": true}) {
 		t.Errorf("detachments are lost with their directory: %v", got)
 	}
 }
 
-// A process that is suspended during a change of the detachments does not block another
-// one's change.
+// Guards against an OK that does not bind: while another process holds the lock, for instance
+// suspended in the middle of a write, a change is not written. Its caller is told so in time, it
+// applies here, and it is written once the lock is free. It used to be written without the lock,
+// and the other process's write then undid it.
 func TestChangeLockIsHeld(t *testing.T) {
 	dir := t.TempDir()
 	a, b := openTestState(t, dir), openTestState(t, dir)
-	if err := a.lockByte(fcntlOFDSetLock, syscall.F_WRLCK, changeLockOffset); err != nil {
+	suspended, resume, done := make(chan bool), make(chan bool), make(chan error)
+	go func() {
+		done <- a.files.update(0, func(onDisk detachmentState, _ error) detachmentState {
+			close(suspended)
+			<-resume
+			next := onDisk.clone()
+			next.apply("s-2", detachmentChange{Detached: true, MadeAt: monotonicNow()})
+			return next
+		})
+	}()
+	<-suspended
+	start := time.Now()
+	if err := b.change("s-1", true); err == nil {
+		t.Error("no error for a detachment that was not written")
+	}
+	if elapsed := time.Since(start); elapsed > time.Second {
+		t.Errorf("took %v, its caller waits 1 s", elapsed)
+	}
+	if !b.current().detached["s-1"] {
+		t.Error("the change does not apply where it was made")
+	}
+	close(resume)
+	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
-	start := time.Now()
-	if err := b.setDetached("s-1", true); err != nil {
-		t.Error(err)
+	b.awaitWritten(t)
+	want := map[string]bool{"s-1": true, "s-2": true}
+	for name, s := range map[string]*sharedState{"a": a, "b": b, "a new process": openTestState(t, dir)} {
+		if got := s.current().detached; !maps.Equal(got, want) {
+			t.Errorf("%s has %v detached, want %v", name, got, want)
+		}
+	}
+}
+
+// Guards against a change that could not be written when it was made and undoes a later one: the
+// later call got its OK at another process.
+func TestLateWriteUndoesNothing(t *testing.T) {
+	for _, detach := range []bool{true, false} {
+		dir := t.TempDir()
+		a, b := openTestState(t, dir), openTestState(t, dir)
+		for _, id := range []string{"s-1", "s-2"} {
+			if err := a.change(id, !detach); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a.current()
+		b.current()
+		unlock, err := b.lockChanges(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, id := range []string{"s-1", "s-2"} { // neither is written
+			if err := a.change(id, detach); err == nil {
+				t.Fatal("written without the lock")
+			}
+		}
+		unlock()
+		if err := b.change("s-1", detach); err != nil { // as an operator who was told of the error would
+			t.Fatal(err)
+		}
+		if err := b.change("s-1", !detach); err != nil {
+			t.Fatal(err)
+		}
+		a.awaitWritten(t)
+		want := map[string]bool{"s-1": !detach, "s-2": detach}
+		for name, s := range map[string]*sharedState{"a": a, "b": b, "a new process": openTestState(t, dir)} {
+			got := s.current().detached
+			for id, wanted := range want {
+				if got[id] != wanted {
+					t.Errorf("late write of detach=%t: %s has %s detached=%t, want %t", detach, name, id, got[id], wanted)
+				}
+			}
+		}
 	}
-	if elapsed := time.Since(start); elapsed > 10*time.Second {
-		t.Errorf("took %v", elapsed)
+}
+
+// Guards against a backend that is in use between two writes of one change: a process that
+// reads then, or is started after the writer was killed there, has each backend as it was or as it
+// will be.
+func TestChangeKilledBetweenItsWrites(t *testing.T) {
+	for _, detach := range []bool{true, false} {
+		dir := t.TempDir()
+		s := openTestState(t, dir)
+		if err := s.change("s-1", !detach); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Remove(s.files.changesPath); err != nil && !detach {
+			t.Fatal(err)
+		}
+		if err := os.Mkdir(s.files.changesPath, 0o700); err != nil { // stops the write of the second file
+			t.Fatal(err)
+		}
+		if err := s.change("s-1", detach); err == nil {
+			t.Fatal("no error for a change that was not written completely")
+		}
+		if got := openTestState(t, dir).current().detached["s-1"]; !got {
+			t.Errorf("detach=%t: a new process uses the backend", detach)
+		}
+	}
+}
+
+// change makes a change and writes it.
+func (d *detachments) change(id string, detach bool) error {
+	if err := d.propose(id, detach); err != nil {
+		return err
 	}
+	return d.flush()
+}
+
+// awaitWritten retries until no change is left to be written.
+func (d *detachments) awaitWritten(t *testing.T) {
+	t.Helper()
+	standin.Eventually(t, 5*time.Second, "the write of pending changes", func() bool {
+		d.retry()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.pending) == 0
+	})
 }
