proxy, logic: a call back is handed on to a process that did not see it

Cause: a call back was seen as a backend that leaves the list of those out. A process that starts later, or that looked before the call out and after the call back, sees nothing of it.

Change: a call back that is news to a process, by its time in the file of changes, takes the backend out and back there; its slow start counts from the call (Attach has since), also where the backend is listed only later.

Measured: TestCallBackIsHandedOn without the mend 30 of 60 requests at the backend, at a process started afterwards and at a running one; 2 at most now. TestAttachedBeforeListedOrElsewhere is new.

--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -23,6 +23,7 @@
 	classes       []class
 	backends      map[string]*backend
 	detached      map[string]bool // by an operator, whatever the list says; they need not be listed
+	attachedAt    map[string]Time // latest ends of detachments; they need not be listed
 	listed        []*backend      // in the order of zoneGroups
 	listedSummary summary         // of listed
 	// Changes with all that summaries depend on, except calls in flight and the time.
@@ -132,6 +133,7 @@
 		rng:           rand.New(rand.NewPCG(settings.Seed, 0)),
 		backends:      map[string]*backend{},
 		detached:      map[string]bool{},
+		attachedAt:    map[string]Time{},
 		requests:      map[string]*request{},
 		backoffTimers: map[uint64]*request{},
 		lastAdmitted:  now, lastArrival: now,
--- a/logic/balancer_test.go
+++ b/logic/balancer_test.go
@@ -94,7 +94,7 @@
 		{"detached", idempotent, false, func(b *Balancer) { b.Detach("b1") }, false},
 		{"detached and attached, in slow start", idempotent, false, func(b *Balancer) {
 			b.Detach("b1")
-			b.Attach(110*ms, "b1")
+			b.Attach(110*ms, "b1", 110*ms)
 		}, false},
 		{"the list is stale", idempotent, false, func(b *Balancer) {
 			b.SetListFreshness(ListFreshness{FreshUntil: 150 * ms})
--- a/logic/detach_test.go
+++ b/logic/detach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -128,7 +129,7 @@
 			before(b, at)
 			b.Detach("b0")
 			_, at = serveCalls(t, b, rec, at, idempotent, 50)
-			b.Attach(at, "b0")
+			b.Attach(at, "b0", at)
 			if w := b.backends["b0"].warmUpFraction(at, &set); w > 2*set.InitialWarmUpFraction {
 				t.Fatalf("attached with a warm-up fraction of %.2f", w)
 			}
@@ -157,15 +158,15 @@
 	if b.IsKnown("unknown") || !b.IsKnown("b0") {
 		t.Error("an unknown backend is known, or b0 is not")
 	}
-	b.Attach(0, "b0")
+	b.Attach(0, "b0", 0)
 	if m := b.backends["b0"]; m.ejections != 0 || m.attachedAt != 0 {
 		t.Error("a backend that was not detached begins a slow start")
 	}
-	b.Attach(0, "unknown")
+	b.Attach(0, "unknown", 0)
 	b.Detach("b0")
 	b.Detach("b0")
 	b.UpdateList(ms, false, []Backend{{ID: "b0", State: Removed}})
-	b.Attach(2*ms, "b0")
+	b.Attach(2*ms, "b0", 2*ms)
 	b.UpdateList(3*ms, false, []Backend{entry("b", 0)})
 	if first, _ := serveCalls(t, b, rec, 10*ms, idempotent, 10); first["b0"] == 0 {
 		t.Error("still detached after Attach")
@@ -175,12 +176,34 @@
 	}
 }
 
+// Guards against a backend that was attached a moment ago and is listed only now being taken for warm,
+// and against a slow start that begins anew where another balancer ended the detachment earlier.
+func TestAttachedBeforeListedOrElsewhere(t *testing.T) {
+	set := testSettings()
+	for _, age := range []time.Duration{0, set.WarmUpTime / 2, set.WarmUpTime} {
+		now := 1000*ms + 2*set.WarmUpTime
+		want := min(1, set.InitialWarmUpFraction+(1-set.InitialWarmUpFraction)*float64(age)/float64(set.WarmUpTime))
+		for _, listed := range []bool{true, false} {
+			b, _ := startBalancer(set, zoneEntries("b", 2)...)
+			if !listed {
+				b.UpdateList(now, false, []Backend{{ID: "b0", State: Removed}})
+			}
+			b.Detach("b0")
+			b.Attach(now, "b0", now-age)
+			b.UpdateList(now, false, []Backend{entry("b", 0)})
+			if got := b.backends["b0"].warmUpFraction(now, &set); math.Abs(got-want) > 0.001 {
+				t.Errorf("attached %v ago, listed then %t: warm-up fraction %.3f, want %.3f", age, listed, got, want)
+			}
+		}
+	}
+}
+
 // A restart reported late, from before the attachment, is no news. Prevents it from delaying the first
 // call.
 func TestRestartBeforeAttachIsIgnored(t *testing.T) {
 	b, _ := startBalancer(testSettings(), zoneEntries("b", 2)...)
 	b.Detach("b0")
-	b.Attach(1000*ms, "b0")
+	b.Attach(1000*ms, "b0", 1000*ms)
 	due := b.backends["b0"].probeAt
 	l := entry("b", 0)
 	l.StartedAt = 900 * ms
@@ -276,7 +299,7 @@
 		_, at := serveCalls(t, b, rec, 0, nonIdempotent, 50)
 		b.Detach("b0")
 		_, at = serveCalls(t, b, rec, at, nonIdempotent, 20)
-		b.Attach(at, "b0")
+		b.Attach(at, "b0", at)
 		first, _ := serveCalls(t, b, rec, at, nonIdempotent, 50)
 		if got, ok := first["b0"]; !ok || got-at > 2*b.baseEjectionTime+200*ms {
 			t.Errorf("seed %d: first call after %v", seed, got-at)
--- a/logic/list.go
+++ b/logic/list.go
@@ -2,7 +2,10 @@
 
 package logic
 
-import "cmp"
+import (
+	"cmp"
+	"maps"
+)
 
 // inService reports whether m is up according to the list and not detached.
 func (b *Balancer) inService(m *backend) bool { return m.State == Up && !b.detached[m.ID] }
@@ -55,6 +58,9 @@
 		m = &backend{lastSent: now, spacingFactor: b.rng.Float64(), relativeLatency: 1}
 		b.backends[entry.ID] = m
 		b.listed = append(b.listed, m)
+		if since, ok := b.attachedAt[entry.ID]; ok && now-since < b.settings.WarmUpTime {
+			b.beginAttached(now, m, since)
+		}
 	} else if max(entry.StartedAt, m.attachedAt) != max(m.StartedAt, m.attachedAt) {
 		// The backend was restarted: nothing learned about it holds.
 		m.failureShare, m.ejections, m.relativeLatency, m.lastSent, m.spacingFactor =
@@ -70,20 +76,32 @@
 	b.actions.CloseIdle(id)
 }
 
-// Attach ends a detachment. The backend begins a slow start, whatever start time the list has. A probe
-// soon brings it back, sent by one balancer on average: without it the first call could take long to
-// come, and hundreds of balancers must not all send one.
-func (b *Balancer) Attach(now Time, id string) {
-	if m := b.backends[id]; m != nil && b.detached[id] {
-		m.attachedAt, m.lastSent, m.failureShare, m.relativeLatency, m.pausedUntil = now, now, 0, 1, 0
-		m.spacingFactor = b.rng.Float64() * oneIf(b.rng.Float64()*float64(b.settings.BalancerCount) >= 1)
-		m.ejections, m.probeAt =
-			int(oneIf(m.spacingFactor == 0)), now+b.jitter(b.baseEjectionTime)-b.baseEjectionTime/2
+// Attach ends a detachment. The backend is in slow start from since on, which is now or, if another
+// balancer ended the detachment, earlier, whatever start time the list has, and whether or not it is
+// listed yet.
+func (b *Balancer) Attach(now Time, id string, since Time) {
+	if !b.detached[id] {
+		return
+	}
+	maps.DeleteFunc(b.attachedAt, func(_ string, at Time) bool { return now-at >= b.settings.WarmUpTime })
+	b.attachedAt[id] = since
+	if m := b.backends[id]; m != nil {
+		b.beginAttached(now, m, since)
 	}
 	delete(b.detached, id)
 	b.summaryVersion++
 }
 
+// beginAttached begins the use of a backend after a detachment. A probe soon brings it back, sent by one
+// balancer on average: without it the first call could take long to come, and hundreds of balancers must
+// not all send one.
+func (b *Balancer) beginAttached(now Time, m *backend, since Time) {
+	m.attachedAt, m.lastSent, m.failureShare, m.relativeLatency, m.pausedUntil = since, now, 0, 1, 0
+	m.spacingFactor = b.rng.Float64() * oneIf(b.rng.Float64()*float64(b.settings.BalancerCount) >= 1)
+	m.ejections, m.probeAt =
+		int(oneIf(m.spacingFactor == 0)), now+b.jitter(b.baseEjectionTime)-b.baseEjectionTime/2
+}
+
 // IsKnown reports whether a backend is listed or detached.
 func (b *Balancer) IsKnown(id string) bool { return b.backends[id] != nil || b.detached[id] }
 
--- a/logic/ramp_test.go
+++ b/logic/ramp_test.go
@@ -397,7 +397,7 @@
 	for _, i := range w.instances {
 		w.at(w.now+Time(w.rng.Float64()*float64(spread)), func() {
 			i.knownStarts[s.ID] = s.StartedAt
-			i.Attach(w.now, s.ID)
+			i.Attach(w.now, s.ID, w.now)
 		})
 	}
 }
--- a/logic/totals_test.go
+++ b/logic/totals_test.go
@@ -63,7 +63,7 @@
 			case 1:
 				b.Detach(fmt.Sprint("s", rng.IntN(30)))
 			case 2:
-				b.Attach(now, fmt.Sprint("s", rng.IntN(30)))
+				b.Attach(now, fmt.Sprint("s", rng.IntN(30)), now)
 			case 3, 4, 5, 6:
 				b.StartRequest(now, Request{ID: fmt.Sprint("r", step), Class: idempotent, Budget: 2000 * ms})
 			default:
--- a/proxy/detachments.go
+++ b/proxy/detachments.go
@@ -47,6 +47,15 @@
 	MadeAt time.Duration `json:"made_at_ns"`
 }
 
+// age returns how long ago the change was made. A time in the future is of before a reboot; as
+// nothing more is known, the change counts as made now.
+func (c detachmentChange) age() time.Duration {
+	if age := monotonicNow() - c.MadeAt; age > 0 {
+		return age
+	}
+	return 0
+}
+
 // detachmentState is what operators have changed, at any process.
 type detachmentState struct {
 	detached map[string]bool
--- a/proxy/detachments_test.go
+++ b/proxy/detachments_test.go
@@ -6,8 +6,10 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"oxbowloft/internal/standin"
+	"oxbowloft/logic"
 )
 
 // mustSetDetached detaches or attaches a backend as an operator does.
@@ -20,9 +22,10 @@
 
 // setDetached detaches or attaches one backend and leaves all others as they are.
 func (d *driver) setDetached(id string, detach bool) {
-	backends := d.detachedBackends()
-	setMember(backends, id, detach)
-	d.applyDetached(backends)
+	state := newDetachmentState()
+	state.detached = d.detachedBackends()
+	setMember(state.detached, id, detach)
+	d.applyDetached(state)
 }
 
 func setMember(set map[string]bool, id string, member bool) {
@@ -153,3 +156,73 @@
 		}
 	}
 }
+
+// sentTo starts requests one after the other, each of which is answered at once, and returns how
+// many went to a backend.
+func (d *driver) sentTo(t *testing.T, id string, requests int) (n int) {
+	t.Helper()
+	for i := range requests {
+		r := d.startRequest(fmt.Sprint(id, i), 0, time.Second, false, false)
+		s := <-r.steps
+		if s.kind != stepSend {
+			t.Fatalf("not sent: cause %v", s.cause)
+		}
+		if s.uid == id {
+			n++
+		}
+		d.connected(r, s)
+		s.sentAt = time.Now().Add(-20 * time.Millisecond) // the same latency for all
+		d.attemptDone(r, s, logic.OK, true, false)
+		s.cancel()
+		d.forget(r)
+	}
+	return n
+}
+
+// Guards against a backend that an operator has just called back, which is cold, being taken for
+// warm by a process that did not see it: one that is started then, or one that did not look in
+// between the calls.
+func TestCallBackIsHandedOn(t *testing.T) {
+	const requests = 60
+	for _, c := range []struct {
+		name     string
+		calls    bool
+		takeOver func(t *testing.T, dir string, running *Proxy) *Proxy
+		least    int // requests at the backend
+		most     int
+	}{
+		{"started, no call", false, func(t *testing.T, dir string, _ *Proxy) *Proxy {
+			return listenProxiesInDir(t, dir, 1)[0]
+		}, requests / 4, requests},
+		{"the process that was called", true, nil, 0, 2},
+		{"started afterwards", true, func(t *testing.T, dir string, _ *Proxy) *Proxy {
+			return listenProxiesInDir(t, dir, 1)[0]
+		}, 0, 2},
+		{"running", true, func(_ *testing.T, _ string, running *Proxy) *Proxy {
+			running.syncDetached()
+			return running
+		}, 0, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			proxies := listenProxiesInDir(t, dir, 2)
+			if c.calls {
+				proxies[0].mustSetDetached(t, "s-1", true)
+				proxies[0].mustSetDetached(t, "s-1", false)
+			}
+			p := proxies[0]
+			if c.takeOver != nil {
+				p = c.takeOver(t, dir, proxies[1])
+			}
+			if n := p.driver.sentTo(t, "s-1", requests); n < c.least || n > c.most {
+				t.Errorf("%d of %d requests went to the backend, want %d to %d", n, requests, c.least, c.most)
+			}
+			for range 3 { // a call back is applied once
+				p.syncDetached()
+			}
+			if p.driver.attachedAt["s-1"] != p.shared.current().changes["s-1"].MadeAt {
+				t.Error("the call back is not noted as applied")
+			}
+		})
+	}
+}
--- a/proxy/driver.go
+++ b/proxy/driver.go
@@ -39,8 +39,10 @@
 	violations     *violations
 	statusLog      logging.RateLimiter // rate limit of log lines about backend status
 	staleLog       *staleAttemptLog
-	listFreshUntil logic.Time      // until then the list contains all announced changes; 0: unknown
-	detached       map[string]bool // by operators
+	listFreshUntil logic.Time               // until then the list contains all announced changes; 0: unknown
+	detached       map[string]bool          // by operators
+	attachedAt     map[string]time.Duration // by operators, on the clock of monotonicNow; latest that was applied
+	warmUpTime     time.Duration
 }
 
 // backendEntry is a listed backend, with its address and state.
@@ -107,6 +109,8 @@
 		statusLog:  logging.RateLimiter{Interval: statusLogInterval, Burst: 20},
 		staleLog:   newStaleAttemptLog(),
 		detached:   map[string]bool{},
+		attachedAt: map[string]time.Duration{},
+		warmUpTime: cfg.logicSettings.WarmUpTime,
 	}
 	upstreamOptions.OnLateDialFailure = d.dialFailed
 	d.withBalancer(func(now logic.Time) { d.balancer = logic.New(now, cfg.logicSettings, d) })
@@ -422,24 +426,49 @@
 	return known
 }
 
-// applyDetached detaches the given backends and attaches all others. It has taken effect on
-// return, and reports which backends it has detached and attached.
-func (d *driver) applyDetached(backends map[string]bool) (detached, attached []string) {
+// applyDetached detaches and attaches backends so that they are as in state. It has taken effect
+// on return, and reports which backends it has detached and attached.
+func (d *driver) applyDetached(state detachmentState) (detached, attached []string) {
 	d.withBalancer(func(now logic.Time) {
-		for id := range backends {
+		for id := range state.detached {
 			if !d.detached[id] {
-				d.detached[id] = true
-				d.balancer.Detach(id)
+				d.detach(id)
 				detached = append(detached, id)
 			}
 		}
 		for id := range d.detached {
-			if !backends[id] {
-				delete(d.detached, id)
-				d.balancer.Attach(now, id)
+			if !state.detached[id] {
+				d.attach(now, id, state.changes[id])
+				attached = append(attached, id)
+			}
+		}
+		for id, c := range state.changes {
+			if !c.Detached && !d.detached[id] && d.attachedAt[id] != c.MadeAt && c.age() < d.warmUpTime {
+				// Detached and attached since the last call, or before this process started.
+				d.detach(id)
+				d.attach(now, id, c)
 				attached = append(attached, id)
 			}
 		}
 	})
 	return detached, attached
 }
+
+// detach detaches a backend. The caller holds mu.
+func (d *driver) detach(id string) {
+	d.detached[id] = true
+	d.balancer.Detach(id)
+}
+
+// attach attaches a detached backend. If c is not the change by which that was done, for instance
+// because an earlier version of the program did it, the backend counts as attached now. The
+// caller holds mu.
+func (d *driver) attach(now logic.Time, id string, c detachmentChange) {
+	since := now
+	if !c.Detached && c.MadeAt > d.attachedAt[id] {
+		since -= c.age()
+		d.attachedAt[id] = c.MadeAt
+	}
+	delete(d.detached, id)
+	d.balancer.Attach(now, id, since)
+}
--- a/proxy/processes.go
+++ b/proxy/processes.go
@@ -47,7 +47,7 @@
 // changed with its origin. No other code detaches or attaches a backend. The caller holds
 // detachMu.
 func (p *Proxy) applyDetached(origin string) {
-	detached, attached := p.driver.applyDetached(p.shared.current().detached)
+	detached, attached := p.driver.applyDetached(p.shared.current())
 	for _, id := range detached {
 		log.Printf("event=by_hand id=%q out=true%s", id, origin)
 	}
