http1: a pause inside a chunk does not hold back what came before

What callers would see: a chunked answer whose backend pauses inside a chunk, or in a line between two, is not forwarded; the attempt runs out of its time. Found by the test for open ids, whose answer paused in a chunk.

Cause: net/http's reader of chunks fills the buffer it is given up to the end of the chunk, and the look at whether bytes are there counted part of a line as some.

Why this works: a read is made only where the next step has all it needs, or rejects what is there.

--- a/cmd/oxbowloft/request_test.go
+++ b/cmd/oxbowloft/request_test.go
@@ -208,6 +208,9 @@
 			head += "Transfer-Encoding: chunked\r\n\r\n"
 			first = fmt.Sprintf("%x\r\n%s\r\n", len(first), first)
 			rest = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+		case "/api/chunk": // pauses inside it
+			head += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(long))
+			rest += "\r\n0\r\n\r\n"
 		default: // delimited by the close
 			head += "\r\n"
 			defer c.Close()
@@ -222,7 +225,7 @@
 		c.WriteRaw(rest)
 	})
 	r := startWithBackends(t, b)
-	for _, uri := range []string{"/api/length", "/api/chunks", "/api/close"} {
+	for _, uri := range []string{"/api/length", "/api/chunks", "/api/chunk", "/api/close"} {
 		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
 			t.Run(version+uri, func(t *testing.T) {
 				withoutPause := strings.Replace(requestHead("GET", uri, "get", 2000), "HTTP/1.1", version, 1)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -264,9 +264,10 @@
 	}
 	// Waits for bytes here and not in the parser, which could not continue after an
 	// interrupted read.
-	if c := r.conn; !r.ended && r.br.Buffered() == 0 && c.parsePos == c.bufEnd {
+	var err error
+	for c := r.conn; !r.ended && !errors.Is(err, io.EOF) && !c.bodyReady(r.br, r.body); {
 		c.bufStart = c.parsePos
-		switch err := c.fill(); {
+		switch err = c.fill(); {
 		case c.interrupted.Load() && (err == ErrInterrupted || neterror.IsDeadline(err)):
 			return 0, ErrInterrupted
 		case err != nil && !errors.Is(err, io.EOF):
@@ -321,11 +322,28 @@
 				return parsedBody{}, c.readErr
 			}
 		}
-		return c.readBody(context.Background(), br, req.Body, req.ContentLength, time.Time{})
+		return c.readBody(context.Background(), br, c.bodyReader(br, req.Body, req.TransferEncoding), req.ContentLength, time.Time{})
 	})
 	return req, body, remaining, err
 }
 
+// bodyReader returns the reader of a body that net/http has parsed up to its first byte. A body
+// in chunks gets one that does not wait for the end of a chunk.
+func (c *Conn) bodyReader(br *bufio.Reader, body io.Reader, transferEncoding []string) io.Reader {
+	if len(transferEncoding) > 0 {
+		return &chunkedReader{conn: c, br: br}
+	}
+	return body
+}
+
+// bodyReady reports whether a read from body does not wait for the connection.
+func (c *Conn) bodyReady(br *bufio.Reader, body io.Reader) bool {
+	if chunked, ok := body.(*chunkedReader); ok {
+		return chunked.ready()
+	}
+	return br.Buffered() > 0 || c.parsePos < c.bufEnd
+}
+
 // maxInterimResponses is how many 1xx responses may precede the final one.
 const maxInterimResponses = 16
 
@@ -359,7 +377,7 @@
 			if resp.StatusCode != http.StatusOK { // an error response is not streamed before its end
 				deadline = time.Time{}
 			}
-			parsed, err := c.readBody(ctx, br, resp.Body, resp.ContentLength, deadline)
+			parsed, err := c.readBody(ctx, br, c.bodyReader(br, resp.Body, resp.TransferEncoding), resp.ContentLength, deadline)
 			if err == nil && len(parsed.data) == 0 && IsCloseDelimited(resp) {
 				return parsedBody{}, errors.New("response has neither a length nor a body")
 			}
@@ -405,7 +423,7 @@
 	}
 	body, partDeadline := make([]byte, 0, 512), time.Now().Add(firstPartTimeout)
 	for len(body) <= MaxBufferedBodyBytes {
-		if !deadline.IsZero() && br.Buffered() == 0 && c.parsePos == c.bufEnd && partDeadline.Before(deadline) {
+		if !deadline.IsZero() && !c.bodyReady(br, r) && partDeadline.Before(deadline) {
 			c.bufStart = c.parsePos
 			c.SetReadDeadline(partDeadline)
 			var err error
@@ -427,6 +445,9 @@
 				c.readErr = err
 				return parsedBody{}, err
 			}
+			if err == nil {
+				continue // what has come may be less than a line
+			}
 		}
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
