proxy: changes of before a reboot are dropped; files removed under a process are written again

Cause: a reboot begins the clock of the changes anew. A time of before it, which is in the future then, counted as now: a backend called back long ago would have been cold at each start until the clock had passed it.

Change: such changes are dropped when the file is read; the list of those out holds. The write of what is known where the files were removed had no test.

Measured: TestChangesOfBeforeAReboot and TestRemovedFilesAreWrittenAgain pass, as do the other tests of what processes share.

--- a/proxy/detachments.go
+++ b/proxy/detachments.go
@@ -47,14 +47,8 @@
 	MadeAt time.Duration `json:"made_at_ns"`
 }
 
-// age returns how long ago the change was made. A time in the future is of before a reboot; as
-// nothing more is known, the change counts as made now.
-func (c detachmentChange) age() time.Duration {
-	if age := monotonicNow() - c.MadeAt; age > 0 {
-		return age
-	}
-	return 0
-}
+// age returns how long ago the change was made.
+func (c detachmentChange) age() time.Duration { return monotonicNow() - c.MadeAt }
 
 // detachmentState is what operators have changed, at any process.
 type detachmentState struct {
@@ -99,8 +93,7 @@
 // supersedes reports whether the state has a change of the backend that was made after c.
 func (s detachmentState) supersedes(id string, c detachmentChange) bool {
 	latest, ok := s.changes[id]
-	now := monotonicNow()
-	return ok && latest.MadeAt > c.MadeAt && latest.MadeAt <= now // a later time is of before a reboot
+	return ok && latest.MadeAt > c.MadeAt
 }
 
 // newDetachments returns the detachments in files, or without files those of this process.
@@ -297,6 +290,8 @@
 	if err := json.Unmarshal(changes, &state.changes); err != nil || state.changes == nil {
 		state.changes = map[string]detachmentChange{}
 	}
+	now := monotonicNow()
+	maps.DeleteFunc(state.changes, func(_ string, c detachmentChange) bool { return c.MadeAt > now }) // of before a reboot
 	return state, nil
 }
 
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -254,6 +254,51 @@
 	}
 }
 
+// A change of before a reboot, whose time is in the future of a clock that began anew, neither
+// holds off a later one nor counts as recent; the list of detached backends holds.
+func TestChangesOfBeforeAReboot(t *testing.T) {
+	dir := t.TempDir()
+	s := openTestState(t, dir)
+	if err := s.change("s-1", true); err != nil {
+		t.Fatal(err)
+	}
+	future := monotonicNow() + time.Hour
+	changes := fmt.Sprintf(`{"s-1":{"detached":true,"made_at_ns":%d},"s-2":{"detached":false,"made_at_ns":%d}}`, future, future)
+	if err := os.WriteFile(s.files.changesPath, []byte(changes), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	next := openTestState(t, dir)
+	if got := next.current(); !got.detached["s-1"] || len(got.changes) > 0 {
+		t.Errorf("starts with %v", got)
+	}
+	if err := next.change("s-1", false); err != nil || next.current().detached["s-1"] || s.current().detached["s-1"] {
+		t.Errorf("the change back: %v, %v, %v", err, next.current(), s.current())
+	}
+}
+
+// Files that are removed under a running process are written again, for the process that starts
+// next.
+func TestRemovedFilesAreWrittenAgain(t *testing.T) {
+	dir := t.TempDir()
+	s := openTestState(t, dir)
+	if err := s.change("s-1", true); err != nil {
+		t.Fatal(err)
+	}
+	s.lastAttempt = time.Time{}
+	for _, path := range []string{s.files.detachedPath, s.files.changesPath} {
+		if err := os.Remove(path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := s.current().detached; !got["s-1"] {
+		t.Errorf("lost with the files: %v", got)
+	}
+	s.retry()
+	if got := openTestState(t, dir).current(); !got.detached["s-1"] || !got.changes["s-1"].Detached {
+		t.Errorf("a new process starts with %v", got)
+	}
+}
+
 // change makes a change and writes it.
 func (d *detachments) change(id string, detach bool) error {
 	if err := d.propose(id, detach); err != nil {
