logic: a start in which all that is listed is detached sets the limit, too

Cause: the first list sets the limit's base from the backends in use, of which there are none. The base stays 0, and the first correction divides by it: the limit is NaN.

Change: where none is in use, the base is set from all that are listed; where one is, nothing changes.

Measured: TestAttachedAfterAStartWithAllDetached failed before (0 of 20 calls sent, limit NaN) and passes; the tests of logic pass.

--- a/logic/detach_test.go
+++ b/logic/detach_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// Guards against a balancer that refuses everything after a start in which all that is listed was
+// detached: once a backend is attached, it is used, without another list.
+func TestAttachedAfterAStartWithAllDetached(t *testing.T) {
+	set := testSettings()
+	b, rec := startBalancer(set)
+	b.Detach("b0")
+	b.Detach("b1")
+	b.UpdateList(0, true, zoneEntries("b", 2))
+	if first, _ := serveCalls(t, b, rec, 10*ms, idempotent, 5); len(first) > 0 {
+		t.Errorf("calls to detached backends: %v", first)
+	}
+	b.Attach(1000*ms, "b0", 1000*ms)
+	if first, _ := serveCalls(t, b, rec, 1000*ms, idempotent, 40); first["b0"] == 0 || first["b1"] != 0 {
+		t.Errorf("first calls after the attachment: %v, want one to b0 alone", first)
+	}
+	from := len(rec.sends)
+	if serveCalls(t, b, rec, set.WarmUpTime+2000*ms, idempotent, 20); len(rec.sends)-from != 20 {
+		t.Errorf("%d of 20 calls were sent once the backend was warm, with a limit of %v", len(rec.sends)-from, b.limit())
+	}
+}
+
 // A restart reported late, from before the attachment, is no news. Prevents it from delaying the first
 // call.
 func TestRestartBeforeAttachIsIgnored(t *testing.T) {
--- a/logic/list.go
+++ b/logic/list.go
@@ -45,9 +45,20 @@
 		b.updateBackend(now, entry)
 	}
 	b.rebuildGroups()
-	if t := b.totals(now, &b.listedSummary); b.baseLimit == 0 && t.capacity > 0 {
+	b.setInitialLimit(now)
+}
+
+// setInitialLimit sets the concurrency limit once a backend is listed: from those in use or, if there is
+// none, from all. One of them may come into use without another list.
+func (b *Balancer) setInitialLimit(now Time) {
+	t := b.totals(now, &b.listedSummary)
+	backendCount, capacity := t.backendCount, t.capacity
+	if capacity == 0 {
+		backendCount, capacity = float64(len(b.listed)), b.capacity
+	}
+	if b.baseLimit == 0 && capacity > 0 {
 		b.limitMultiplier, b.baseLimit =
-			1, initialLimitPerBackend*t.backendCount/t.capacity/float64(max(b.settings.BalancerCount, 1))
+			1, initialLimitPerBackend*backendCount/capacity/float64(max(b.settings.BalancerCount, 1))
 	}
 }
 
