--- a/logic/detach_test.go
+++ b/logic/detach_test.go
@@ -182,7 +182,8 @@
 	set := testSettings()
 	for _, age := range []time.Duration{0, set.WarmUpTime / 2, set.WarmUpTime} {
 		now := 1000*ms + 2*set.WarmUpTime
-		want := min(1, set.InitialWarmUpFraction+(1-set.InitialWarmUpFraction)*float64(age)/float64(set.WarmUpTime))
+		warm := float64(age) / float64(set.WarmUpTime)
+		want := min(1, set.InitialWarmUpFraction+(1-set.InitialWarmUpFraction)*warm)
 		for _, listed := range []bool{true, false} {
 			b, _ := startBalancer(set, zoneEntries("b", 2)...)
 			if !listed {
@@ -192,7 +193,7 @@
 			b.Attach(now, "b0", now-age)
 			b.UpdateList(now, false, []Backend{entry("b", 0)})
 			if got := b.backends["b0"].warmUpFraction(now, &set); math.Abs(got-want) > 0.001 {
-				t.Errorf("attached %v ago, listed then %t: warm-up fraction %.3f, want %.3f", age, listed, got, want)
+				t.Errorf("attached %v ago, listed then %t: fraction %.3f, want %.3f", age, listed, got, want)
 			}
 		}
 	}
@@ -214,8 +215,9 @@
 		t.Errorf("first calls after the attachment: %v, want one to b0 alone", first)
 	}
 	from := len(rec.sends)
-	if serveCalls(t, b, rec, set.WarmUpTime+2000*ms, idempotent, 20); len(rec.sends)-from != 20 {
-		t.Errorf("%d of 20 calls were sent once the backend was warm, with a limit of %v", len(rec.sends)-from, b.limit())
+	serveCalls(t, b, rec, set.WarmUpTime+2000*ms, idempotent, 20)
+	if sent := len(rec.sends) - from; sent != 20 {
+		t.Errorf("%d of 20 calls were sent once the backend was warm, with a limit of %v", sent, b.limit())
 	}
 }
 
