proxy: late changes are written beside the look for changes, not in it

Cause: the write of a change that could not be written when it was made ran in the loop that looks for the other process's changes. With a slow disk that loop would stand still for as long as the write.

Measured: found by reading. TestRunningProcessWritesLateChange is new (a call's ERR, its effect here alone, its write by the running process, and a process that starts then); it and the other tests of what processes share pass under the race detector.

--- a/proxy/detachments.go
+++ b/proxy/detachments.go
@@ -32,12 +32,11 @@
 
 	writing sync.Mutex // held while changes are written
 
-	mu          sync.Mutex
-	known       detachmentState             // as last read, or as changed without files
-	pending     map[string]detachmentChange // made here and not written yet, by backend
-	filesLost   bool                        // the files were there and are gone
-	lastAttempt time.Time                   // to write pending changes
-	readError   string                      // logged already
+	mu        sync.Mutex
+	known     detachmentState             // as last read, or as changed without files
+	pending   map[string]detachmentChange // made here and not written yet, by backend
+	filesLost bool                        // the files were there and are gone
+	readError string                      // logged already
 }
 
 // detachmentChange is an operator's latest change of one backend.
@@ -164,11 +163,10 @@
 	d.readError = text
 }
 
-// retry writes pending changes if there are any and the latest attempt is long enough ago. It
-// does not wait for the change lock.
+// retry writes pending changes if there are any. It does not wait for the change lock.
 func (d *detachments) retry() {
 	d.mu.Lock()
-	due := (len(d.pending) > 0 || d.filesLost) && time.Since(d.lastAttempt) >= writeRetryInterval
+	due := len(d.pending) > 0 || d.filesLost
 	d.mu.Unlock()
 	if !due || !d.writing.TryLock() { // a call is writing
 		return
@@ -195,7 +193,6 @@
 func (d *detachments) write(lockWait time.Duration) error {
 	d.mu.Lock()
 	pending := maps.Clone(d.pending)
-	d.lastAttempt = time.Now()
 	d.mu.Unlock()
 	var written detachmentState
 	err := d.files.update(lockWait, func(onDisk detachmentState, readErr error) detachmentState {
--- a/proxy/detachments_test.go
+++ b/proxy/detachments_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -157,6 +159,48 @@
 	}
 }
 
+// A change that could not be written when it was made is written by the running process, and
+// binds one that starts then.
+func TestRunningProcessWritesLateChange(t *testing.T) {
+	dir := t.TempDir()
+	p := listenProxiesInDir(t, dir, 1)[0]
+	p.cfg.Grace = time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	defer func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	open := func() *sharedState {
+		state, err := openSharedState(dir, p.cfg.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return state
+	}
+	holder := open()
+	defer holder.close()
+	unlock, err := holder.lockChanges(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := (adminTarget{p}).Detach("s-1"); !errors.Is(err, errNotShared) {
+		t.Errorf("got %v, want %v", err, errNotShared)
+	}
+	if !p.driver.detachedBackends()["s-1"] || holder.current().detached["s-1"] {
+		t.Error("the change does not apply where it was made, or elsewhere")
+	}
+	unlock()
+	eventually(t, "the write by the running process", func() bool {
+		starting := open()
+		defer starting.close()
+		return starting.current().detached["s-1"]
+	})
+}
+
 // sentTo starts requests one after the other, each of which is answered at once, and returns how
 // many went to a backend.
 func (d *driver) sentTo(t *testing.T, id string, requests int) (n int) {
--- a/proxy/processes.go
+++ b/proxy/processes.go
@@ -20,7 +20,21 @@
 		p.setNonblocking()
 		p.setProcessCount(p.shared.processCount())
 		p.syncDetached()
-		p.shared.retry()
+	}
+}
+
+// retryDetachments writes changes that could not be written when they were made, until ctx is
+// done. A slow disk holds up no other work.
+func (p *Proxy) retryDetachments(ctx context.Context) {
+	tick := time.NewTicker(writeRetryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.shared.retry()
+		}
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -244,6 +244,7 @@
 	p.tasks.Go(func() { p.list.Run(background) })
 	p.tasks.Go(func() { p.housekeeping(background) })
 	p.tasks.Go(func() { p.followSharedState(background) })
+	p.tasks.Go(func() { p.retryDetachments(background) })
 
 	log.Printf("event=start name=%q listen=%s tier=%d known=%d rev=%d",
 		p.cfg.Name, p.Addr(), p.cfg.logicSettings.Tier, p.driver.backendCount(), p.cfg.knownList.Rev)
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -284,7 +284,6 @@
 	if err := s.change("s-1", true); err != nil {
 		t.Fatal(err)
 	}
-	s.lastAttempt = time.Time{}
 	for _, path := range []string{s.files.detachedPath, s.files.changesPath} {
 		if err := os.Remove(path); err != nil {
 			t.Fatal(err)
