http1: a chunk that is read whole is waited for, like a body of known length

Cause: every pause inside a chunk counted as one of a long answer, and the first part went out after 0.1 s.

Change: a chunk that ends within the 64 KiB that are read whole is waited for, up to the end of the attempt.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -336,6 +336,14 @@
 	return body
 }
 
+// endsWithin reports whether body is inside a chunk that has at most n more bytes. Such a chunk is
+// waited for, like a body of known length: as long as nothing of it is forwarded, its request can
+// be sent to another backend.
+func endsWithin(body io.Reader, n int) bool {
+	chunked, ok := body.(*chunkedReader)
+	return ok && chunked.left > 0 && chunked.left <= int64(n)
+}
+
 // bodyReady reports whether a read from body does not wait for the connection.
 func (c *Conn) bodyReady(br *bufio.Reader, body io.Reader) bool {
 	if chunked, ok := body.(*chunkedReader); ok {
@@ -400,7 +408,7 @@
 // first part. Memory for a body of known length is allocated only once all of it is in the
 // buffer, since many senders may announce a length and send little. If a deadline is given,
 // a body of unknown length whose end does not arrive within firstPartTimeout yields its
-// first part early; the read deadline is back at deadline on return.
+// first part early, unless it has stopped inside a chunk that is read whole; the read deadline is back at deadline on return.
 func (c *Conn) readBody(ctx context.Context, br *bufio.Reader, r io.Reader, length int64, deadline time.Time) (parsedBody, error) {
 	switch {
 	case length > MaxStreamedBodyBytes:
@@ -423,7 +431,7 @@
 	}
 	body, partDeadline := make([]byte, 0, 512), time.Now().Add(firstPartTimeout)
 	for len(body) <= MaxBufferedBodyBytes {
-		if !deadline.IsZero() && !c.bodyReady(br, r) && partDeadline.Before(deadline) {
+		if !deadline.IsZero() && !c.bodyReady(br, r) && partDeadline.Before(deadline) && !endsWithin(r, MaxBufferedBodyBytes-len(body)) {
 			c.bufStart = c.parsePos
 			c.SetReadDeadline(partDeadline)
 			var err error
